--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: each module is one command that prints JSON lines."""
--- /dev/null
+++ b/chicorypost/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log: storage, election, replication and snapshots."""
--- /dev/null
+++ b/chicorypost/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Daemons: move bytes and time between sockets and state machines."""
--- /dev/null
+++ b/chicorypost/events/_catalogue.py
@@ -0,0 +1,96 @@
+"""The catalogue of numbered log events.
+
+Each part defines its events in its own ``_events.py``: base and daemons 1-99, consensus 100-199,
+configuration 200-299, membership 300-399, flows 400-499, upstreams 500-599, requests 600-699,
+transport 700-799.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
+
+from chicorypost.base import Effect
+
+FieldValue = str | int | float | bool | None
+
+
+class Level(Enum):
+    """Severity of an event."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+@dataclass(frozen=True, slots=True)
+class EventSpec:
+    """One entry of the catalogue."""
+
+    number: int
+    name: str
+    level: Level
+    meaning: str
+    fields: tuple[str, ...]
+
+    def emit(self, **fields: FieldValue) -> "Emit":
+        """Return the effect that logs one occurrence.
+
+        Raises
+        ------
+        ValueError
+            If the fields are not exactly those of the catalogue entry.
+        """
+        if set(fields) != set(self.fields):
+            got, allowed = sorted(fields), sorted(self.fields)
+            raise ValueError(f"event {self.number} has wrong fields: got {got}, allowed {allowed}")
+        return Emit(self, fields)
+
+
+@dataclass(frozen=True, slots=True)
+class Emit(Effect):
+    """Log one event and count it."""
+
+    spec: EventSpec
+    fields: Mapping[str, FieldValue]
+
+
+_catalogue: dict[int, EventSpec] = {}
+
+
+def define_event(number: int, name: str, level: Level, meaning: str, *fields: str) -> EventSpec:
+    """Add an event to the catalogue.
+
+    Parameters
+    ----------
+    number : int
+        Unique number within the range of the part.
+    name : str
+        Unique name in lower case with hyphens.
+    level : Level
+        Severity.
+    meaning : str
+        One sentence for operators.
+    *fields : str
+        Names of the fields that every occurrence carries.
+
+    Returns
+    -------
+    EventSpec
+        The entry; call its `emit` to log an occurrence.
+
+    Raises
+    ------
+    ValueError
+        If the number is taken.
+    """
+    if number in _catalogue:
+        raise ValueError(f"event number is taken: got {number}, used by {_catalogue[number].name}")
+    spec = EventSpec(number, name, level, meaning, fields)
+    _catalogue[number] = spec
+    return spec
+
+
+def event_catalogue() -> list[EventSpec]:
+    """Return all entries defined so far, in order of number."""
+    return [_catalogue[number] for number in sorted(_catalogue)]
--- /dev/null
+++ b/chicorypost/flows/__init__.py
@@ -0,0 +1,1 @@
+"""Flow routing: slot tables, handoffs and the register of newer flows."""
--- /dev/null
+++ b/chicorypost/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Requests: ownership, outcomes, retries and deadlines."""
--- /dev/null
+++ b/chicorypost/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Streams between processes, HTTP and TLS."""
