--- /dev/null
+++ b/chicorypost/daemons/_admin.py
@@ -0,0 +1,54 @@
+"""Admin endpoints of every process: live, ready, dump and metrics."""
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from chicorypost.metrics import ProcessMetrics
+from chicorypost.transport import HttpServerRequest, HttpServerResponse
+
+JSON_HEADERS = (("content-type", "application/json"),)
+
+
+def json_response(status: int, value: Any) -> HttpServerResponse:
+    """Return a response with a JSON body."""
+    body = json.dumps(value, default=str, indent=2).encode() + b"\n"
+    return HttpServerResponse(status, body, JSON_HEADERS)
+
+
+@dataclass(frozen=True, slots=True)
+class AdminEndpoints:
+    """The admin listener.
+
+    Parameters
+    ----------
+    metrics : ProcessMetrics
+        Served at ``/metrics``.
+    dump : callable
+        Returns the state that ``/dump`` serves.
+    not_ready : callable
+        Returns why the process is not ready, or an empty string.
+    """
+
+    metrics: ProcessMetrics
+    dump: Callable[[], dict[str, Any]]
+    not_ready: Callable[[], str]
+
+    async def handle(self, request: HttpServerRequest) -> HttpServerResponse:
+        """Serve one request."""
+        if request.method != "GET":
+            return json_response(405, {"error": f"method is {request.method}, allowed is GET"})
+        match request.path:
+            case "/live":
+                return json_response(200, {"live": True})
+            case "/ready":
+                reason = self.not_ready()
+                return json_response(503 if reason else 200, {"ready": not reason, "why": reason})
+            case "/dump":
+                return json_response(200, self.dump())
+            case "/metrics":
+                body, content_type = self.metrics.exposition()
+                return HttpServerResponse(200, body, (("content-type", content_type),))
+        paths = "/live, /ready, /dump, /metrics"
+        return json_response(404, {"error": f"path is {request.path}, allowed are {paths}"})
--- /dev/null
+++ b/chicorypost/daemons/_engine.py
@@ -0,0 +1,165 @@
+"""Feeds events to state machines and carries out their effects, on one loop."""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import trio
+
+from chicorypost.base import Effect, Event, InstanceId, Instant, Message, Received, Send
+from chicorypost.base import StateMachine, Tick
+from chicorypost.events import Emit
+
+WAKE_SLACK_SECONDS = 0.001
+
+
+@dataclass(frozen=True, slots=True)
+class Part:
+    """One state machine and what it is told.
+
+    Parameters
+    ----------
+    name : str
+        Key of its state in the dump.
+    machine : StateMachine
+        The machine.
+    messages : tuple of message types
+        Received messages that it takes.
+    events : tuple of event types
+        Other events that it takes.
+    """
+
+    name: str
+    machine: StateMachine
+    messages: tuple[type[Message], ...] = ()
+    events: tuple[type[Event], ...] = ()
+
+    def takes(self, event: Event) -> bool:
+        """Return whether the machine is to be told of the event."""
+        if isinstance(event, Received):
+            return isinstance(event.message, self.messages)
+        return isinstance(event, self.events)
+
+
+class Engine:
+    """Runs the state machines of one process.
+
+    Parameters
+    ----------
+    send : callable
+        Sends a message to an instance.
+    emit : callable
+        Logs and counts an event.
+    execute : callable
+        Carries out every other effect, such as a response to a caller.
+    clock : callable, default trio.current_time
+        The monotonic clock.
+
+    Notes
+    -----
+    The clock is read again for each event, so that a process that was frozen between two events
+    decides the second one with its lease known to be over.
+    """
+
+    def __init__(
+        self,
+        send: Callable[[InstanceId, Message], None],
+        emit: Callable[[Emit], None],
+        execute: Callable[[Effect], None],
+        clock: Callable[[], float] = trio.current_time,
+    ) -> None:
+        self.send = send
+        self.emit = emit
+        self.execute = execute
+        self.clock = clock
+        self.parts: list[Part] = []
+        self.queue: deque[Event] = deque()
+        self.is_running = False
+        self.wake_at: Instant | None = None
+        self.wake = trio.Event()
+
+    def now(self) -> Instant:
+        """Return the current time."""
+        return Instant(self.clock())
+
+    def add(self, part: Part) -> None:
+        """Add a state machine; events are given to machines in the order of adding."""
+        self.parts.append(part)
+
+    def post(self, event: Event) -> None:
+        """Tell the machines of an event and carry out what follows from it."""
+        self.queue.append(event)
+        self._drain()
+
+    def receive(self, sender: InstanceId, message: Message) -> None:
+        """Take a message from another instance."""
+        self.post(Received(sender, message))
+
+    def carry_out(self, effects: list[Effect]) -> None:
+        """Carry out effects, and what follows from them."""
+        for effect in effects:
+            self._carry_out_one(effect)
+        self._drain()
+
+    def _drain(self) -> None:
+        if self.is_running:
+            return
+        self.is_running = True
+        try:
+            while self.queue:
+                self._deliver(self.queue.popleft())
+        finally:
+            self.is_running = False
+        self.reschedule()
+
+    def _deliver(self, event: Event) -> None:
+        for part in self.parts:
+            if part.takes(event):
+                self.carry_out(part.machine.handle(event, self.now()))
+
+    def _carry_out_one(self, effect: Effect) -> None:
+        match effect:
+            case Send(to=to, message=message):
+                self.send(to, message)
+            case Emit():
+                self.emit(effect)
+            case Event():
+                self.queue.append(effect)
+                self.execute(effect)
+            case _:
+                self.execute(effect)
+
+    def reschedule(self) -> None:
+        """Look at the machines' deadlines again and wake the timer when one is earlier."""
+        deadlines = [part.machine.next_deadline() for part in self.parts]
+        earliest = min((deadline for deadline in deadlines if deadline is not None), default=None)
+        if earliest != self.wake_at:
+            self.wake_at = earliest
+            self.wake.set()
+
+    async def run_timer(self) -> None:
+        """Tell the machines that time has passed whenever a deadline is reached."""
+        while True:
+            self.wake = trio.Event()
+            if self.wake_at is None:
+                await self.wake.wait()
+                continue
+            with trio.move_on_at(self.wake_at):
+                await self.wake.wait()
+            if self.wake_at is not None and self.now() >= self.wake_at:
+                self._tick()
+                # A machine that asks for a past deadline again must not starve the loop.
+                await trio.sleep(WAKE_SLACK_SECONDS)
+
+    def _tick(self) -> None:
+        for part in self.parts:
+            deadline = part.machine.next_deadline()
+            now = self.now()
+            if deadline is not None and deadline <= now:
+                self.carry_out(part.machine.handle(Tick(), now))
+        self.reschedule()
+
+    def dump(self) -> dict[str, Any]:
+        """Return the decision state of every machine."""
+        return {part.name: part.machine.dump() for part in self.parts}
--- /dev/null
+++ b/chicorypost/daemons/_exchanges.py
@@ -0,0 +1,149 @@
+"""Runs exchanges with upstreams for the dispatcher."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import trio
+
+from chicorypost.base import AttemptId, Instant, UpstreamId
+from chicorypost.daemons._engine import Engine
+from chicorypost.daemons._events import LATE_ANSWER_DROPPED
+from chicorypost.transport import (
+    ExchangeAnswer,
+    ExchangeFailed,
+    ExchangeFault,
+    ExchangeRequest,
+    HttpConnection,
+    open_http,
+)
+from chicorypost.upstreams import (
+    CancelExchange,
+    DispatchOutcome,
+    ExchangeEnded,
+    HttpResponse,
+    StartExchange,
+)
+
+ATTEMPT_HEADER = "chicorypost-attempt"
+DEADLINE_HEADER = "request-deadline"
+IDLE_CONNECTIONS_PER_UPSTREAM = 4
+NO_RESPONSE = None
+
+PoolKey = tuple[UpstreamId, int, str, int]
+
+
+@dataclass(slots=True)
+class UpstreamExchanges:
+    """Connections to upstreams and the exchanges that run on them.
+
+    Parameters
+    ----------
+    engine : Engine
+        Told how each exchange ended.
+    may_act : callable
+        Whether this instance holds a lease; asked again just before the first byte.
+    body_bytes : int
+        Largest answer that is accepted.
+
+    Notes
+    -----
+    A connection carries one exchange at a time and is closed when an exchange on it did not end
+    with a whole answer, so that a late answer can't be taken for that of the next attempt. An
+    answer that names another attempt in its ``Chicorypost-Attempt`` header is dropped.
+    """
+
+    engine: Engine
+    may_act: Callable[[Instant], bool]
+    body_bytes: int
+    nursery: trio.Nursery | None = None
+    running: dict[AttemptId, trio.CancelScope] = field(default_factory=dict)
+    idle: dict[PoolKey, list[HttpConnection]] = field(default_factory=dict)
+
+    def start(self, effect: StartExchange) -> None:
+        """Run an exchange in the background."""
+        assert self.nursery is not None, "start was called before the daemon runs"
+        self.nursery.start_soon(self._run, effect)
+
+    def cancel(self, effect: CancelExchange) -> None:
+        """Close the connection of a running exchange, which tells the upstream to cancel."""
+        scope = self.running.get(effect.attempt)
+        if scope is not None:
+            scope.cancel()
+
+    async def _run(self, effect: StartExchange) -> None:
+        result: ExchangeAnswer | ExchangeFailed
+        result = ExchangeFailed(ExchangeFault.BROKEN, "cancelled or past its deadline")
+        with trio.CancelScope(deadline=effect.deadline) as scope:
+            self.running[effect.attempt] = scope
+            result = await self._exchange(effect)
+        del self.running[effect.attempt]
+        self.engine.post(self._judge(effect, result))
+
+    async def _exchange(self, effect: StartExchange) -> ExchangeAnswer | ExchangeFailed:
+        connection = await self._connect(effect)
+        if isinstance(connection, ExchangeFailed):
+            return connection
+        try:
+            if not self.may_act(self.engine.now()):
+                return ExchangeFailed(ExchangeFault.UNREACHABLE, "lease ended before sending")
+            return await connection.exchange(self._make_request(effect))
+        finally:
+            await self._give_back(effect, connection)
+
+    async def _connect(self, effect: StartExchange) -> HttpConnection | ExchangeFailed:
+        idle = self.idle.get(_pool_key(effect), [])
+        while idle:
+            connection = idle.pop()
+            if connection.is_open():
+                return connection
+            await connection.aclose()
+        return await open_http(effect.upstream.requests, self.body_bytes)
+
+    async def _give_back(self, effect: StartExchange, connection: HttpConnection) -> None:
+        idle = self.idle.setdefault(_pool_key(effect), [])
+        if connection.reusable and len(idle) < IDLE_CONNECTIONS_PER_UPSTREAM:
+            idle.append(connection)
+        else:
+            await connection.aclose()
+
+    def _make_request(self, effect: StartExchange) -> ExchangeRequest:
+        remaining = max(0.0, effect.deadline - self.engine.now())
+        own_headers = (
+            (ATTEMPT_HEADER, effect.attempt),
+            (DEADLINE_HEADER, f"{time.time() + remaining:.3f}"),
+        )
+        request = effect.request
+        return ExchangeRequest(
+            request.method, request.target, request.headers + own_headers, request.body
+        )
+
+    def _judge(
+        self, effect: StartExchange, result: ExchangeAnswer | ExchangeFailed
+    ) -> ExchangeEnded:
+        match result:
+            case ExchangeAnswer() if self._belongs(effect, result):
+                response = HttpResponse(result.status, result.headers, result.body)
+                answered = DispatchOutcome.ANSWERED
+                return ExchangeEnded(effect.attempt, answered, "answered", response)
+            case ExchangeAnswer():
+                reason = "the answer names another attempt"
+                return ExchangeEnded(effect.attempt, DispatchOutcome.UNKNOWN, reason, NO_RESPONSE)
+            case ExchangeFailed(fault=ExchangeFault.UNREACHABLE, detail=detail):
+                not_started = DispatchOutcome.NOT_STARTED
+                return ExchangeEnded(effect.attempt, not_started, detail, NO_RESPONSE)
+        return ExchangeEnded(effect.attempt, DispatchOutcome.UNKNOWN, result.detail, NO_RESPONSE)
+
+    def _belongs(self, effect: StartExchange, answer: ExchangeAnswer) -> bool:
+        named = answer.header(ATTEMPT_HEADER)
+        if named is None or named == effect.attempt:
+            return True
+        event = LATE_ANSWER_DROPPED.emit(upstream=effect.upstream.upstream, attempt=named)
+        self.engine.emit(event)
+        return False
+
+
+def _pool_key(effect: StartExchange) -> PoolKey:
+    upstream = effect.upstream
+    endpoint = upstream.requests
+    return upstream.upstream, upstream.incarnation, endpoint.host, endpoint.port
--- /dev/null
+++ b/chicorypost/daemons/_packets.py
@@ -0,0 +1,130 @@
+"""Moves packets between the fabric's socket, the flow router and upstreams."""
+
+import socket
+from collections.abc import Callable
+
+import trio
+
+from chicorypost.base import Endpoint
+from chicorypost.daemons._engine import Engine
+from chicorypost.daemons._events import PACKET_SOCKET_ERROR
+from chicorypost.flows import (
+    BadPacket,
+    Decision,
+    Dropped,
+    FlowRouter,
+    ForwardTo,
+    Held,
+    PassTo,
+    ReleaseHeld,
+    parse_packet,
+)
+
+DATAGRAM_BYTES = 65_535
+BATCH_PACKETS = 64
+SOCKET_BUFFER_BYTES = 4 * 1024 * 1024
+HOP_MARK = b"\x00chicorypost-hop"
+"""Precedes a packet that one balancer passed to another; no IPv4 packet begins with a zero byte."""
+
+
+class PacketForwarder:
+    """The packet listener of a balancer.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+        Where to listen.
+    router : FlowRouter
+        Decides.
+    engine : Engine
+        Told when the router has something to send.
+    count : callable
+        Takes the name of a decision and how many packets it was made for.
+
+    Notes
+    -----
+    The socket is awaited once and then read in bounded batches without awaiting each packet: a
+    trio call for each packet would take most of the time.
+    """
+
+    def __init__(
+        self,
+        endpoint: Endpoint,
+        router: FlowRouter,
+        engine: Engine,
+        count: Callable[[str, int], None],
+    ) -> None:
+        self.router = router
+        self.engine = engine
+        self.count = count
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
+        self.socket.setblocking(False)
+        self.socket.bind((endpoint.host, endpoint.port))
+
+    @property
+    def endpoint(self) -> Endpoint:
+        """Where the listener is bound."""
+        host, port = self.socket.getsockname()
+        return Endpoint(host, port)
+
+    async def run(self) -> None:
+        """Forward packets until cancelled."""
+        while True:
+            await trio.lowlevel.wait_readable(self.socket)
+            self.forward_batch()
+            await trio.lowlevel.checkpoint()
+
+    def forward_batch(self) -> None:
+        """Read and forward the packets that wait, up to a bound."""
+        for _ in range(BATCH_PACKETS):
+            try:
+                data = self.socket.recv(DATAGRAM_BYTES)
+            except BlockingIOError:
+                break
+            except OSError as error:
+                self.engine.emit(PACKET_SOCKET_ERROR.emit(reason=str(error)))
+                break
+            self.forward(data)
+        self.engine.reschedule()
+
+    def forward(self, data: bytes) -> None:
+        """Forward one datagram of the fabric or of another balancer."""
+        hops = 0
+        if data.startswith(HOP_MARK):
+            hops = data[len(HOP_MARK)]
+            data = data[len(HOP_MARK) + 1 :]
+        packet = parse_packet(data)
+        if isinstance(packet, BadPacket):
+            self.router.count_refused(packet)
+            self.count("refused", 1)
+            return
+        self.carry_out(self.router.route(packet, self.engine.now(), hops), data, hops)
+
+    def carry_out(self, decision: Decision, data: bytes, hops: int) -> None:
+        """Do with a packet what the router decided."""
+        match decision:
+            case ForwardTo(upstream=upstream):
+                self.send(data, upstream.packets)
+            case PassTo(member=member):
+                mark = HOP_MARK + bytes([hops + 1])
+                self.send(mark + data, member.packets)
+                self.count("passed", 1)
+            case Held():
+                self.count("held", 1)
+            case Dropped(reason=reason):
+                self.count(f"dropped-{reason.value}", 1)
+
+    def release(self, effect: ReleaseHeld) -> None:
+        """Carry out the decision for packets that were held."""
+        for data in effect.packets:
+            self.carry_out(effect.decision, data, 0)
+
+    def send(self, data: bytes, to: Endpoint) -> None:
+        """Send a datagram; a full socket buffer loses it, as a network may."""
+        try:
+            self.socket.sendto(data, (to.host, to.port))
+        except BlockingIOError:
+            self.count("dropped-socket-full", 1)
+        except OSError as error:
+            self.engine.emit(PACKET_SOCKET_ERROR.emit(reason=str(error)))
--- a/chicorypost/transport/_http_client.py
+++ b/chicorypost/transport/_http_client.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 client on `h11`: one exchange at a time on a connection that may be kept open."""
 
+import select
 import ssl
 from dataclasses import dataclass
 from enum import Enum
@@ -93,6 +94,15 @@
             self.reusable = True
         return answer
 
+    def is_open(self) -> bool:
+        """Return whether the idle connection is still usable: nothing arrived, not even an end."""
+        stream = self.stream
+        if isinstance(stream, trio.SocketStream):
+            poll = select.poll()
+            poll.register(stream.socket.fileno(), select.POLLIN)
+            return not poll.poll(0)
+        return True
+
     async def aclose(self) -> None:
         """Close the connection."""
         self.reusable = False
