Fix the interfaces of membership, upstream directory, chooser and dispatcher

Cause: flows, requests and the daemons are built against these parts at the same time. Ruled out: passing the view into each query (a caller could pair a lease with another view). Before: no modules. Conclusion: interfaces stand; the decisions follow, directory first.

--- a/chicorypost/upstreams/__init__.py
+++ b/chicorypost/upstreams/__init__.py
@@ -1,5 +1,15 @@
 """Upstream announcements, dispatch under slots, health and ejection."""
 
+from chicorypost.upstreams._chooser import NoUpstream, NoUpstreamReason, UpstreamChooser
+from chicorypost.upstreams._directory import Announced, UpstreamDirectory
+from chicorypost.upstreams._dispatcher import (
+    CancelExchange,
+    Dispatcher,
+    Drain,
+    ExchangeEnded,
+    StartExchange,
+    dispatcher_of,
+)
 from chicorypost.upstreams._messages import (
     DispatchAnswer,
     DispatchCancel,
@@ -8,12 +18,27 @@
     HttpRequest,
     HttpResponse,
 )
+from chicorypost.upstreams._settings import ChooserSettings, DirectorySettings, DispatcherSettings
 
 __all__ = [
+    "Announced",
+    "CancelExchange",
+    "ChooserSettings",
+    "DirectorySettings",
     "DispatchAnswer",
     "DispatchCancel",
     "DispatchOutcome",
     "DispatchRequest",
+    "Dispatcher",
+    "DispatcherSettings",
+    "Drain",
+    "ExchangeEnded",
     "HttpRequest",
     "HttpResponse",
+    "NoUpstream",
+    "NoUpstreamReason",
+    "StartExchange",
+    "UpstreamChooser",
+    "UpstreamDirectory",
+    "dispatcher_of",
 ]
