Fix the interface of requests: events, messages, outcomes, settings, classification

Cause: daemons and the caller library need the types before the machines behind them are written. Ruled out: a record per request at the dispatcher alone (it dies with the upstream's slot table); asking the dispatcher itself about an attempt (it has no memory of finished ones), so a runner beside each dispatcher keeps results until owner and backup have them. Before: empty package. Conclusion: the interface can be coded against; the machines follow.

--- /dev/null
+++ b/chicorypost/client/__init__.py
@@ -0,0 +1,1 @@
+"""Library for callers: keys, resends, deadlines and outcomes as values."""
--- a/chicorypost/requests/__init__.py
+++ b/chicorypost/requests/__init__.py
@@ -1,1 +1,38 @@
 """Requests: ownership, outcomes, retries and deadlines."""
+
+from chicorypost.requests._classify import RequestClass, classify
+from chicorypost.requests._interface import (
+    CallerGone,
+    Chooser,
+    RequestArrived,
+    Respond,
+    WallClockRead,
+)
+from chicorypost.requests._outcome import (
+    OUTCOME_HEADER,
+    PROBLEM_TYPE_PREFIX,
+    Outcome,
+    Reason,
+    Verdict,
+    to_response,
+)
+from chicorypost.requests._service import RequestService
+from chicorypost.requests._settings import RequestSettings
+
+__all__ = [
+    "OUTCOME_HEADER",
+    "PROBLEM_TYPE_PREFIX",
+    "CallerGone",
+    "Chooser",
+    "Outcome",
+    "Reason",
+    "RequestArrived",
+    "RequestClass",
+    "RequestService",
+    "RequestSettings",
+    "Respond",
+    "Verdict",
+    "WallClockRead",
+    "classify",
+    "to_response",
+]
--- /dev/null
+++ b/chicorypost/requests/_settings.py
@@ -0,0 +1,69 @@
+"""Settings of request ownership and retries."""
+
+from pydantic import Field
+
+from chicorypost.base import DataCentreId, Settings
+
+
+class RequestSettings(Settings):
+    """How keyed requests are recorded and others retried.
+
+    Parameters
+    ----------
+    data_centres : tuple of DataCentreId, default=()
+        All data centres, the same on every instance: a key without a prefix is placed by hash
+        over them. Empty means that of the instance alone.
+    max_records : int, default=20000
+        Records that an instance owns, and records that it backs up, at most.
+    max_answer_bytes : int, default=65536
+        Largest answer body that a record keeps.
+    max_kept_bytes : int, default=33554432
+        Sum of the answer bodies that the records of an instance keep.
+    max_attempts : int, default=3
+        Attempts for one request, at most.
+    max_waiters : int, default=16
+        Callers that may wait for the same key.
+    max_open_attempts : int, default=4096
+        Attempts that a runner holds until their results are recorded.
+    max_barred_attempts : int, default=16384
+        Attempts that a runner remembers as never to be run.
+    clock_skew_seconds : float, default=1.0
+        Greatest difference between the wall clocks of two balancers.
+    key_ahead_seconds : float, default=5.0
+        How far in the future a key's time may lie.
+    answer_margin_seconds : float, default=0.1
+        Time kept back from a request's deadline for bringing the outcome to the caller.
+    cancel_grace_seconds : float, default=1.0
+        How long a request whose caller has gone waits for a resend before it is cancelled.
+    resend_seconds : float, default=0.2
+        Interval at which unacknowledged messages are repeated.
+    max_resend_seconds : float, default=2.0
+        Upper bound of that interval, which doubles with each repeat.
+    retry_after_seconds : float, default=1.0
+        What callers are told to wait when nothing better is known.
+    attempt_share : float, default=0.5
+        Share of the remaining time after which an idempotent attempt is given up.
+    budget_capacity : float, default=10.0
+        Retries that successes can save up.
+    copy_records : int, default=256
+        Records in one part of a partition copy.
+    """
+
+    data_centres: tuple[DataCentreId, ...] = ()
+    max_records: int = Field(default=20_000, ge=1, le=10_000_000)
+    max_answer_bytes: int = Field(default=65_536, ge=0, le=1_048_576)
+    max_kept_bytes: int = Field(default=33_554_432, ge=0)
+    max_attempts: int = Field(default=3, ge=1, le=10)
+    max_waiters: int = Field(default=16, ge=1, le=1000)
+    max_open_attempts: int = Field(default=4096, ge=1)
+    max_barred_attempts: int = Field(default=16_384, ge=1)
+    clock_skew_seconds: float = Field(default=1.0, ge=0, le=3600)
+    key_ahead_seconds: float = Field(default=5.0, ge=0, le=3600)
+    answer_margin_seconds: float = Field(default=0.1, ge=0, le=10)
+    cancel_grace_seconds: float = Field(default=1.0, ge=0, le=60)
+    resend_seconds: float = Field(default=0.2, gt=0, le=10)
+    max_resend_seconds: float = Field(default=2.0, gt=0, le=60)
+    retry_after_seconds: float = Field(default=1.0, gt=0, le=600)
+    attempt_share: float = Field(default=0.5, gt=0, le=1)
+    budget_capacity: float = Field(default=10.0, ge=0, le=10_000)
+    copy_records: int = Field(default=256, ge=1, le=4096)
