Run a keyed request at most once and tell its caller the truth

Cause: an order could run twice when its resend reached another balancer, or be refused although it ran. Ruled out: retrying by time alone after an owner's lease has ended (an order may take longer than a lease, so cutting it at the lease's end would make outcomes unknown); asking the dispatcher (it forgets finished exchanges); telling the runner 'closed' before the backup has the result (a takeover would then find the attempt unknown and run it again); a stale copy of a partition as the base of a takeover (a later owner may have forgotten and rerun a key). Change: owner, backup records, partitions loaded and filled through view changes, runner beside each dispatcher that runs an attempt once and bars one that is asked for before it arrives, entry with retry budget, one facade.

--- a/chicorypost/requests/__init__.py
+++ b/chicorypost/requests/__init__.py
@@ -8,6 +8,7 @@
     Respond,
     WallClockRead,
 )
+from chicorypost.requests._key import make_key, normalize_key
 from chicorypost.requests._outcome import (
     OUTCOME_HEADER,
     PROBLEM_TYPE_PREFIX,
@@ -16,12 +17,14 @@
     Verdict,
     to_response,
 )
-from chicorypost.requests._service import RequestService
+from chicorypost.requests._service import REQUEST_EVENTS, REQUEST_MESSAGES, RequestService
 from chicorypost.requests._settings import RequestSettings
 
 __all__ = [
     "OUTCOME_HEADER",
     "PROBLEM_TYPE_PREFIX",
+    "REQUEST_EVENTS",
+    "REQUEST_MESSAGES",
     "CallerGone",
     "Chooser",
     "Outcome",
@@ -34,5 +37,7 @@
     "Verdict",
     "WallClockRead",
     "classify",
+    "make_key",
+    "normalize_key",
     "to_response",
 ]
--- /dev/null
+++ b/chicorypost/requests/_key.py
@@ -0,0 +1,94 @@
+"""Idempotency keys: the data centre and the time that a key carries."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from random import Random
+from uuid import UUID
+
+from chicorypost.base import DataCentreId, RequestKey, WallTime, rendezvous_rank
+
+MAX_KEY_LENGTH = 200
+KEY_SEPARATOR = "."
+UUID_TEXT_LENGTH = 36
+UUID_TIME_VERSION = 7
+UUID_TIME_SHIFT = 80
+UUID_RANDOM_BITS = 74
+UUID_RANDOM_LOW_BITS = 62
+UUID_VARIANT = 0b10
+MILLISECONDS = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class ParsedKey:
+    """What a key says about itself.
+
+    Parameters
+    ----------
+    data_centre : DataCentreId or None
+        Prefix of the key; None if it has none.
+    made_at : WallTime or None
+        Time of a UUIDv7; None for any other text.
+    """
+
+    data_centre: DataCentreId | None
+    made_at: WallTime | None
+
+
+def normalize_key(text: str) -> RequestKey | None:
+    """Return the key of an Idempotency-Key header, or None if it is not acceptable.
+
+    Examples
+    --------
+    >>> normalize_key('"order-7"')
+    'order-7'
+    """
+    if len(text) >= 2 and text[0] == '"' and text[-1] == '"':
+        text = text[1:-1]
+    if not 1 <= len(text) <= MAX_KEY_LENGTH or not text.isascii() or not text.isprintable():
+        return None
+    return RequestKey(text)
+
+
+def parse_key(key: RequestKey) -> ParsedKey:
+    """Return the data centre and the time that a key carries."""
+    prefix, separator, suffix = key.rpartition(KEY_SEPARATOR)
+    if separator and prefix and _parse_uuid(suffix) is not None:
+        return ParsedKey(DataCentreId(prefix), _time_of(suffix))
+    return ParsedKey(None, _time_of(key))
+
+
+def make_key(data_centre: DataCentreId | None, wall: WallTime, random: Random) -> RequestKey:
+    """Make a key: a UUIDv7, after the name of a data centre if one is given."""
+    milliseconds = int(wall * MILLISECONDS)
+    noise = random.getrandbits(UUID_RANDOM_BITS)
+    high, low = noise >> UUID_RANDOM_LOW_BITS, noise & ((1 << UUID_RANDOM_LOW_BITS) - 1)
+    value = milliseconds << UUID_TIME_SHIFT | UUID_TIME_VERSION << 76 | high << 64
+    value |= UUID_VARIANT << UUID_RANDOM_LOW_BITS | low
+    text = str(UUID(int=value))
+    return RequestKey(text if data_centre is None else data_centre + KEY_SEPARATOR + text)
+
+
+def home_of(key: RequestKey, data_centres: Sequence[DataCentreId]) -> DataCentreId:
+    """Return the data centre that owns a key: its prefix, else one by hash."""
+    prefix = parse_key(key).data_centre
+    if prefix is not None:
+        return prefix
+    return DataCentreId(rendezvous_rank(key.encode(), data_centres, 1)[0])
+
+
+def _time_of(text: str) -> WallTime | None:
+    parsed = _parse_uuid(text)
+    if parsed is None or parsed.version != UUID_TIME_VERSION:
+        return None
+    return WallTime((parsed.int >> UUID_TIME_SHIFT) / MILLISECONDS)
+
+
+def _parse_uuid(text: str) -> UUID | None:
+    if len(text) != UUID_TEXT_LENGTH:
+        return None
+    try:
+        parsed = UUID(text)
+    except ValueError:
+        return None
+    # Another spelling of the same number would be another key with the same time.
+    return parsed if str(parsed) == text else None
--- a/chicorypost/requests/_messages.py
+++ b/chicorypost/requests/_messages.py
@@ -277,3 +277,10 @@
 
     epoch: Epoch
     partitions: tuple[int, ...]
+
+
+class FillWanted(Message, frozen=True, array_like=True, tag=647):
+    """Backup to owner: these copies are not complete."""
+
+    epoch: Epoch
+    partitions: tuple[int, ...]
--- /dev/null
+++ b/chicorypost/requests/_runner.py
@@ -0,0 +1,276 @@
+"""Runner: runs each attempt at most once beside a dispatcher and keeps its result."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from chicorypost.base import (
+    AttemptId,
+    Effect,
+    Incarnation,
+    InstanceId,
+    Instant,
+    Message,
+    Send,
+    UpstreamId,
+)
+from chicorypost.requests._alarms import Alarms
+from chicorypost.requests._context import BalancerContext
+from chicorypost.requests._events import ANSWER_DROPPED, ATTEMPT_REFUSED
+from chicorypost.requests._messages import (
+    AttemptClosed,
+    AttemptQuery,
+    AttemptResult,
+    RunAccepted,
+    RunAttempt,
+    RunCancel,
+)
+from chicorypost.requests._placement import MemberKey, RecordId
+from chicorypost.upstreams import (
+    DispatchAnswer,
+    DispatchCancel,
+    DispatchOutcome,
+    DispatchRequest,
+    HttpResponse,
+)
+
+BARRED_REASON = "barred"
+BUSY_REASON = "busy"
+LATE_REASON = "late"
+RESTARTED_REASON = "runner restarted"
+INCOMPLETE_REASON = "no whole answer"
+
+
+@dataclass(slots=True)
+class HeldAttempt:
+    """An attempt that runs or whose result is not recorded yet."""
+
+    record: RecordId
+    upstream: UpstreamId
+    result: AttemptResult | None = None
+    resend_seconds: float = 0.0
+
+
+def make_attempt_id(owner: MemberKey, number: int) -> AttemptId:
+    """Return the id of an owner's attempt."""
+    return AttemptId(f"{owner[0]}/{owner[1]}/{number}")
+
+
+def split_attempt_id(attempt: AttemptId) -> tuple[MemberKey, int]:
+    """Return the owner and the number of an attempt."""
+    name, incarnation, number = attempt.rsplit("/", 2)
+    return (InstanceId(name), Incarnation(int(incarnation))), int(number)
+
+
+class AttemptRunner:
+    """State machine beside the dispatcher of an instance.
+
+    Parameters
+    ----------
+    context : BalancerContext
+        Views, settings and clock.
+
+    Notes
+    -----
+    An attempt that was asked for before it arrived is barred: it never runs, so the owner that
+    asked may run another one. Bars are forgotten only when the owner's numbers up to them are
+    closed, or a later run of the owner's instance is known: a late copy is still refused.
+    """
+
+    def __init__(self, context: BalancerContext) -> None:
+        self.context = context
+        self.held: dict[AttemptId, HeldAttempt] = {}
+        self.barred: set[AttemptId] = set()
+        self.closed_below: dict[MemberKey, int] = {}
+        self.alarms: Alarms[AttemptId] = Alarms()
+
+    @property
+    def idle(self) -> bool:
+        """Whether every result is recorded at its owner."""
+        return not self.held
+
+    def receive(self, sender: InstanceId, message: Message, now: Instant) -> list[Effect]:
+        """Take a message of an owner."""
+        match message:
+            case RunAttempt():
+                return self._run(sender, message, now)
+            case RunCancel(attempt=attempt):
+                held = self.held.get(attempt)
+                running = held is not None and held.result is None
+                return [self._to_dispatcher(DispatchCancel(attempt))] if running else []
+            case AttemptQuery():
+                return self._query(sender, message)
+            case AttemptClosed(attempt=attempt):
+                self._close(attempt)
+        return []
+
+    def _to_dispatcher(self, message: Message) -> Effect:
+        return Send(self.context.member.instance, message)
+
+    def _run(self, sender: InstanceId, message: RunAttempt, now: Instant) -> list[Effect]:
+        attempt = message.attempt
+        owner = (sender, message.owner_incarnation)
+        self._raise_closed(owner, message.closed_below)
+        if message.runner_incarnation != self.context.member.incarnation:
+            return []
+        known = self._report(attempt)
+        if known is not None:
+            return [Send(sender, known)]
+        if attempt in self.barred:
+            refused = _not_started(attempt, message.service, message.key, BARRED_REASON)
+            return [Send(sender, refused), ATTEMPT_REFUSED.emit(attempt=attempt, sender=sender)]
+        is_late = message.number < self.closed_below.get(owner, 0)
+        if is_late or not self.context.is_live(owner):
+            return [ATTEMPT_REFUSED.emit(attempt=attempt, sender=sender)]
+        return self._admit(sender, message, now)
+
+    def _admit(self, sender: InstanceId, message: RunAttempt, now: Instant) -> list[Effect]:
+        attempt = message.attempt
+        is_full = len(self.held) >= self.context.settings.max_open_attempts
+        is_over = message.start_within_ms <= 0 or message.remaining_ms <= 0
+        if is_full or is_over:
+            if not self._bar(attempt):
+                return []
+            reason = BUSY_REASON if is_full else LATE_REASON
+            refused = _not_started(attempt, message.service, message.key, reason)
+            return [Send(sender, refused)]
+        record = (message.service, message.key)
+        self.held[attempt] = HeldAttempt(record, message.upstream)
+        dispatch = DispatchRequest(
+            attempt,
+            message.service,
+            message.upstream,
+            message.priority,
+            message.remaining_ms,
+            message.request,
+        )
+        return [Send(sender, RunAccepted(attempt)), self._to_dispatcher(dispatch)]
+
+    def _report(self, attempt: AttemptId) -> Message | None:
+        held = self.held.get(attempt)
+        if held is None:
+            return None
+        return RunAccepted(attempt) if held.result is None else held.result
+
+    def _query(self, sender: InstanceId, message: AttemptQuery) -> list[Effect]:
+        attempt = message.attempt
+        if message.runner_incarnation != self.context.member.incarnation:
+            lost = AttemptResult(
+                attempt,
+                message.service,
+                message.key,
+                DispatchOutcome.UNKNOWN,
+                RESTARTED_REASON,
+                None,
+                0,
+            )
+            return [Send(sender, lost)]
+        known = self._report(attempt)
+        if known is not None:
+            return [Send(sender, known)]
+        if not self._bar(attempt):
+            return []
+        return [Send(sender, _not_started(attempt, message.service, message.key, BARRED_REASON))]
+
+    def _bar(self, attempt: AttemptId) -> bool:
+        """Make sure that an attempt never runs; return False if there is no room for it."""
+        owner, number = split_attempt_id(attempt)
+        if number < self.closed_below.get(owner, 0) or attempt in self.barred:
+            return True
+        if len(self.barred) >= self.context.settings.max_barred_attempts:
+            return False
+        self.barred.add(attempt)
+        return True
+
+    def _close(self, attempt: AttemptId) -> None:
+        held = self.held.get(attempt)
+        if held is None or held.result is None or not self._bar(attempt):
+            return
+        del self.held[attempt]
+        self.alarms.clear(attempt)
+
+    def _raise_closed(self, owner: MemberKey, closed_below: int) -> None:
+        if closed_below <= self.closed_below.get(owner, 0):
+            return
+        self.closed_below[owner] = closed_below
+        self.barred = {attempt for attempt in self.barred if not self._is_closed(attempt)}
+
+    def _is_closed(self, attempt: AttemptId) -> bool:
+        owner, number = split_attempt_id(attempt)
+        return number < self.closed_below.get(owner, 0)
+
+    def take_answer(self, answer: DispatchAnswer, now: Instant) -> list[Effect] | None:
+        """Take an answer of the dispatcher; return None if the attempt is not held here."""
+        held = self.held.get(answer.attempt)
+        if held is None:
+            return None
+        if held.result is not None or answer.upstream != held.upstream:
+            return [ANSWER_DROPPED.emit(attempt=answer.attempt, sender=answer.upstream)]
+        outcome, reason, response = answer.outcome, answer.reason, answer.response
+        if outcome is DispatchOutcome.ANSWERED and response is None:
+            outcome, reason = DispatchOutcome.UNKNOWN, INCOMPLETE_REASON
+        kept: HttpResponse | None = response if outcome is DispatchOutcome.ANSWERED else None
+        held.result = AttemptResult(
+            answer.attempt, *held.record, outcome, reason, kept, answer.retry_after_ms
+        )
+        return self._tell(answer.attempt, held, now)
+
+    def _tell(self, attempt: AttemptId, held: HeldAttempt, now: Instant) -> list[Effect]:
+        settings = self.context.settings
+        wanted = held.resend_seconds * 2 or settings.resend_seconds
+        held.resend_seconds = min(settings.max_resend_seconds, wanted)
+        self.alarms.set(attempt, Instant(now + held.resend_seconds))
+        owner = self.context.find_owner(held.record)
+        if owner is None or held.result is None:
+            return []
+        return [Send(owner[0], held.result)]
+
+    def change_view(self, now: Instant) -> list[Effect]:
+        """Tell the results to owners that may be new, and close the numbers of those that left."""
+        for attempt in list(self.barred):
+            owner, number = split_attempt_id(attempt)
+            if not self.context.is_live(owner):
+                # An owner that comes back after it was excluded goes on with greater numbers.
+                self.closed_below[owner] = max(self.closed_below.get(owner, 0), number + 1)
+        self.barred = {attempt for attempt in self.barred if not self._is_closed(attempt)}
+        self.closed_below = {
+            owner: number
+            for owner, number in self.closed_below.items()
+            if not self.context.is_replaced(owner)
+        }
+        effects: list[Effect] = []
+        for attempt, held in self.held.items():
+            if held.result is not None:
+                held.resend_seconds = 0.0
+                effects += self._tell(attempt, held, now)
+        return effects
+
+    def tick(self, now: Instant) -> list[Effect]:
+        """Repeat results that are not closed."""
+        effects: list[Effect] = []
+        for attempt in self.alarms.pop_due(now):
+            held = self.held.get(attempt)
+            if held is not None:
+                effects += self._tell(attempt, held, now)
+        return effects
+
+    def next_deadline(self) -> Instant | None:
+        """Return when `tick` is wanted next."""
+        return self.alarms.earliest()
+
+    def dump(self) -> dict[str, Any]:
+        """Return the attempts as values that JSON can hold."""
+        return {
+            "held": {
+                attempt: held.result.outcome.value if held.result is not None else "running"
+                for attempt, held in self.held.items()
+            },
+            "barred": sorted(self.barred),
+            "closed_below": {
+                f"{name}/{incarnation}": number
+                for (name, incarnation), number in self.closed_below.items()
+            },
+        }
+
+
+def _not_started(attempt: AttemptId, service: Any, key: Any, reason: str) -> AttemptResult:
+    return AttemptResult(attempt, service, key, DispatchOutcome.NOT_STARTED, reason, None, 0)
--- a/chicorypost/requests/_service.py
+++ b/chicorypost/requests/_service.py
@@ -3,9 +3,83 @@
 from random import Random
 from typing import Any
 
-from chicorypost.base import Effect, Event, Instant, Member, WallTime
-from chicorypost.requests._interface import Chooser
+from chicorypost.base import (
+    Effect,
+    Event,
+    Instant,
+    LeaseChanged,
+    Member,
+    Received,
+    Tick,
+    View,
+    ViewChanged,
+    WallTime,
+)
+from chicorypost.configuration import ConfigurationApplied
+from chicorypost.requests._context import BalancerContext
+from chicorypost.requests._entry import RequestEntry
+from chicorypost.requests._interface import CallerGone, Chooser, RequestArrived, WallClockRead
+from chicorypost.requests._messages import (
+    AttemptClosed,
+    AttemptQuery,
+    AttemptResult,
+    FillWanted,
+    FormerDrop,
+    FormerOffer,
+    OwnerAccepted,
+    OwnerAnswer,
+    OwnerCancel,
+    OwnerRequest,
+    PartitionCopy,
+    PartitionCopyAck,
+    PartitionFetch,
+    PartitionQuery,
+    PartitionReply,
+    RecordAck,
+    RecordUpdate,
+    RunAccepted,
+    RunAttempt,
+    RunCancel,
+)
+from chicorypost.requests._owner import RequestOwner
+from chicorypost.requests._replicas import PartitionReplicas
+from chicorypost.requests._runner import AttemptRunner
 from chicorypost.requests._settings import RequestSettings
+from chicorypost.upstreams import DispatchAnswer, Drain
+
+OWNER_MESSAGES = (OwnerRequest, OwnerCancel, RecordAck, RunAccepted, AttemptResult)
+RUNNER_MESSAGES = (RunAttempt, RunCancel, AttemptQuery, AttemptClosed)
+REPLICA_MESSAGES = (
+    FillWanted,
+    FormerDrop,
+    FormerOffer,
+    PartitionCopy,
+    PartitionCopyAck,
+    PartitionFetch,
+    PartitionQuery,
+    PartitionReply,
+    RecordUpdate,
+)
+REQUEST_MESSAGES = (
+    OwnerAccepted,
+    OwnerAnswer,
+    DispatchAnswer,
+    *OWNER_MESSAGES,
+    *RUNNER_MESSAGES,
+    *REPLICA_MESSAGES,
+)
+"""Messages that a driver hands to `RequestService`."""
+
+REQUEST_EVENTS = (
+    RequestArrived,
+    CallerGone,
+    WallClockRead,
+    ViewChanged,
+    LeaseChanged,
+    ConfigurationApplied,
+    Drain,
+)
+"""Events, besides `Received` and `Tick`, that a driver hands to `RequestService`."""
 
 
 class RequestService:
@@ -41,25 +115,99 @@
         now: Instant,
         wall: WallTime,
     ) -> None:
-        self.settings = settings
-        self.member = member
+        self.context = BalancerContext(settings, member, now, wall)
         self.chooser = chooser
         self.random = random
-        self.started = now
+        self.entry = RequestEntry(self.context, chooser)
+        self.replicas = PartitionReplicas(self.context)
+        self.owner = RequestOwner(self.context, self.replicas, chooser)
+        self.runner = AttemptRunner(self.context)
 
     def handle(self, event: Event, now: Instant) -> list[Effect]:
         """Take one event and return the effects, in the order to carry them out."""
-        raise NotImplementedError
+        match event:
+            case Received():
+                return self._receive(event, now)
+            case Tick():
+                return self._tick(now)
+            case RequestArrived(wall=wall):
+                self.context.set_wall(wall, now)
+                return self.entry.arrive(event, now)
+            case CallerGone(ticket=ticket):
+                return self.entry.leave(ticket)
+            case WallClockRead(wall=wall):
+                self.context.set_wall(wall, now)
+            case LeaseChanged(end=end):
+                self.context.lease_end = end
+            case ViewChanged(view=view):
+                return self._change_view(view, now)
+            case ConfigurationApplied(document=document):
+                self.context.document = document
+                self.entry.budget.keep_only(set(document.services))
+            case Drain():
+                self.context.is_draining = True
+        return []
+
+    def _receive(self, event: Received, now: Instant) -> list[Effect]:
+        sender, message = event.sender, event.message
+        match message:
+            case OwnerAccepted():
+                return self.entry.take_accepted(message)
+            case OwnerAnswer():
+                return self.entry.take_owner_answer(sender, message, now)
+            case DispatchAnswer():
+                effects = self.chooser.observe(message, now)
+                ran = self.runner.take_answer(message, now)
+                if ran is None:
+                    ran = self.entry.take_answer(sender, message, now)
+                return effects + ran
+        if isinstance(message, OWNER_MESSAGES):
+            return self.owner.receive(sender, message, now)
+        if isinstance(message, RUNNER_MESSAGES):
+            return self.runner.receive(sender, message, now)
+        if isinstance(message, REPLICA_MESSAGES):
+            effects = self.replicas.receive(sender, message, now)
+            return effects + self.owner.take_over(now)
+        return []
+
+    def _change_view(self, view: View, now: Instant) -> list[Effect]:
+        former = self.context.own_placement()
+        if not self.context.set_view(view):
+            return []
+        effects: list[Effect] = []
+        current = self.context.own_placement()
+        if current is not None and current is not former:
+            effects += self.replicas.change_view(former, current, now)
+        effects += self.owner.change_view(now)
+        effects += self.runner.change_view(now)
+        return effects + self.entry.change_view(now)
+
+    def _tick(self, now: Instant) -> list[Effect]:
+        effects = self.replicas.tick(now)
+        effects += self.owner.take_over(now)
+        effects += self.owner.tick(now)
+        effects += self.runner.tick(now)
+        return effects + self.entry.tick(now)
 
     def next_deadline(self) -> Instant | None:
         """Return when the machine next wants a `Tick`."""
-        raise NotImplementedError
+        parts = (self.entry, self.owner, self.runner, self.replicas)
+        deadlines = [part.next_deadline() for part in parts]
+        return min((at for at in deadlines if at is not None), default=None)
 
     @property
     def idle(self) -> bool:
         """Whether a drained balancer may leave the view without cutting a request."""
-        raise NotImplementedError
+        parts = (self.entry, self.owner, self.runner, self.replicas)
+        return self.context.is_draining and all(part.idle for part in parts)
 
     def dump(self) -> dict[str, Any]:
         """Return the whole decision state as values that JSON can hold."""
-        raise NotImplementedError
+        return {
+            "draining": self.context.is_draining,
+            "lease_end": self.context.lease_end,
+            "entry": self.entry.dump(),
+            "owner": self.owner.dump(),
+            "replicas": self.replicas.dump(),
+            "runner": self.runner.dump(),
+        }
--- /dev/null
+++ b/chicorypost/requests/tests/_world.py
@@ -0,0 +1,405 @@
+"""Balancers, upstreams and callers in memory: the test chooses what happens when."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+from chicorypost.base import (
+    DataCentreId,
+    Endpoint,
+    Epoch,
+    Incarnation,
+    InstanceId,
+    Instant,
+    LeaseChanged,
+    Member,
+    Message,
+    Received,
+    RequestKey,
+    Send,
+    ServiceId,
+    Tick,
+    Upstream,
+    UpstreamId,
+    UpstreamState,
+    Version,
+    View,
+    ViewChanged,
+    WallTime,
+    decode,
+    encode,
+)
+from chicorypost.configuration import (
+    ConfigurationApplied,
+    ConfigurationDocument,
+    IdempotentRule,
+    Priority,
+    ServiceSpec,
+    UpstreamSelector,
+)
+from chicorypost.requests import (
+    OUTCOME_HEADER,
+    CallerGone,
+    RequestArrived,
+    RequestService,
+    RequestSettings,
+    Respond,
+    make_key,
+)
+from chicorypost.requests._placement import Placement, partition_of
+from chicorypost.upstreams import (
+    DispatchAnswer,
+    DispatchCancel,
+    DispatchOutcome,
+    DispatchRequest,
+    Drain,
+    HttpRequest,
+    HttpResponse,
+    NoUpstream,
+    NoUpstreamReason,
+    dispatcher_of,
+)
+
+HOME = DataCentreId("gent1")
+ORDERS = ServiceId("orders")
+LEASE_SECONDS = 3.0
+START_WALL = 1_800_000_000.0
+ENDPOINT = Endpoint("127.0.0.1", 1)
+FINAL = ("done", "not-run")
+SPEC = ServiceSpec(
+    selector=UpstreamSelector(service=ORDERS),
+    idempotent=(IdempotentRule(method="GET", path_prefix="/status"),),
+)
+DOCUMENT = ConfigurationDocument(services={ORDERS: SPEC})
+
+
+def make_member(name: str, incarnation: int, data_centre: DataCentreId = HOME) -> Member:
+    identity = InstanceId(name), Incarnation(incarnation)
+    return Member(*identity, data_centre, ENDPOINT, ENDPOINT)
+
+
+def make_upstream(name: str, data_centre: DataCentreId = HOME) -> Upstream:
+    ready = UpstreamState.READY
+    return Upstream(
+        UpstreamId(name), Incarnation(1), ORDERS, data_centre, ENDPOINT, ENDPOINT, 3, 100, ready
+    )
+
+
+@dataclass
+class FirstUpstream:
+    """Chooses the first upstream that is not excluded."""
+
+    upstreams: list[Upstream]
+
+    def choose(self, service, excluded, now):
+        for upstream in self.upstreams:
+            if upstream.upstream not in excluded:
+                return upstream
+        return NoUpstream(NoUpstreamReason.ALL_EXCLUDED, "all tried")
+
+    def observe(self, answer, now):
+        return []
+
+
+@dataclass
+class Node:
+    service: RequestService
+    member: Member
+    is_alive: bool = True
+    is_frozen: bool = False
+    lease_end: float = 0.0
+    exchanges: dict[str, tuple[str, DispatchRequest]] = field(default_factory=dict)
+
+
+@dataclass
+class Call:
+    """One request on one connection, as its caller sees it."""
+
+    ticket: int
+    node: str
+    incarnation: int
+    key: str
+    sent_at: float
+    deadline: float
+    outcome: str | None = None
+    body: bytes = b""
+    is_broken: bool = False
+
+
+class World:
+    """One data centre unless told otherwise; `pending` holds what can happen next."""
+
+    def __init__(self, names, upstreams=("u1", "u2"), settings=None, homes=None) -> None:
+        self.now = 0.0
+        self.settings = settings or RequestSettings()
+        self.homes = homes or dict.fromkeys(names, HOME)
+        self.upstreams = [make_upstream(name) for name in upstreams]
+        self.dead_upstreams: set[str] = set()
+        self.incarnations: Counter[str] = Counter()
+        self.nodes: dict[str, Node] = {}
+        self.views: dict[DataCentreId, View] = {}
+        self.pending: list[tuple[str, Any]] = []
+        self.cut: set[frozenset[str]] = set()
+        self.sent: list[tuple[str, str, bytes]] = []
+        self.timers: list[tuple[float, str, DataCentreId]] = []
+        self.runs: Counter[str] = Counter()
+        self.upstream_answers: Counter[str] = Counter()
+        self.calls: list[Call] = []
+        self.responses: Counter[int] = Counter()
+        self.steps = 0
+        self.crash_at: dict[int, Any] = {}
+        self.document = DOCUMENT
+        for name in names:
+            self.start(name)
+        for home in dict.fromkeys(self.homes.values()):
+            members = [self.nodes[name].member for name in names if self.homes[name] == home]
+            self.install(View(home, Epoch(1), tuple(members)))
+        self.settle()
+        self.sleep(60.0)
+
+    # Membership
+
+    def start(self, name: str) -> None:
+        self.incarnations[name] += 1
+        member = make_member(name, self.incarnations[name], self.homes[name])
+        chooser = FirstUpstream(self.upstreams)
+        service = RequestService(
+            self.settings,
+            member,
+            chooser,
+            Random(name),
+            Instant(self.now),
+            WallTime(START_WALL + self.now),
+        )
+        self.nodes[name] = Node(service, member)
+        self.tell(name, ConfigurationApplied(Version(1), self.document))
+        for view in self.views.values():
+            self.tell(name, ViewChanged(view))
+
+    def install(self, view: View, slow: tuple[str, ...] = ()) -> None:
+        """Make a view known to every live instance but the slow ones."""
+        self.views[view.data_centre] = view
+        self.renew()
+        for name, node in self.nodes.items():
+            if node.is_alive and name not in slow:
+                self.pending.append((name, ("event", ViewChanged(view))))
+
+    def change(self, without=(), plus=(), slow=(), home=HOME) -> None:
+        members = [m for m in self.views[home].members if m.instance not in without]
+        members += [self.nodes[name].member for name in plus]
+        epoch = Epoch(self.views[home].epoch + 1)
+        self.install(View(home, epoch, tuple(members)), slow)
+
+    def join(self, name: str) -> None:
+        self.start(name)
+        self.change(without=(name,), plus=(name,), home=self.homes[name])
+
+    def renew(self) -> None:
+        live = {(m.instance, m.incarnation) for view in self.views.values() for m in view.members}
+        for name, node in self.nodes.items():
+            identity = (node.member.instance, node.member.incarnation)
+            if node.is_alive and not node.is_frozen and identity in live:
+                node.lease_end = self.now + LEASE_SECONDS
+                self.tell(name, LeaseChanged(Instant(node.lease_end)))
+
+    def crash(self, name: str) -> None:
+        node = self.nodes[name]
+        if not node.is_alive:
+            return
+        node.is_alive = False
+        self.pending = [each for each in self.pending if each[0] != name]
+        for call in self.calls:
+            if call.node == name and call.outcome is None:
+                call.is_broken = True
+        home = self.homes[name]
+        self.timers.append((self.now + LEASE_SECONDS, name, home))
+
+    def exclude(self, name: str, home: DataCentreId = HOME) -> None:
+        if any(member.instance == name for member in self.views[home].members):
+            self.change(without=(name,), home=home)
+
+    def freeze(self, name: str) -> None:
+        self.nodes[name].is_frozen = True
+
+    def thaw(self, name: str) -> None:
+        self.nodes[name].is_frozen = False
+
+    def kill_upstream(self, name: str) -> None:
+        self.dead_upstreams.add(name)
+        for node_name, node in self.nodes.items():
+            for _, request in list(node.exchanges.values()):
+                if request.upstream == name:
+                    self.end_exchange(node_name, request, DispatchOutcome.UNKNOWN, None)
+
+    # Callers
+
+    def call(self, node: str, key: str | None, seconds=10.0, target="/orders", method="POST"):
+        ticket = len(self.calls)
+        incarnation = self.incarnations[node]
+        request = HttpRequest(method, target, (), (key or f"t{ticket}").encode())
+        call = Call(ticket, node, incarnation, key or "", self.now, self.now + seconds)
+        self.calls.append(call)
+        event = RequestArrived(
+            ticket,
+            request,
+            ORDERS,
+            None if key is None else RequestKey(key),
+            Instant(call.deadline),
+            WallTime(START_WALL + self.now),
+            Priority.CONFIRMATION,
+        )
+        self.pending.append((node, ("event", event)))
+        return call
+
+    def hang_up(self, call: Call) -> None:
+        self.pending.append((call.node, ("event", CallerGone(call.ticket))))
+
+    # What happens
+
+    def tell(self, name: str, event) -> None:
+        node = self.nodes[name]
+        for effect in node.service.handle(event, Instant(self.now)):
+            match effect:
+                case Send(to=to, message=message):
+                    self.pending.append((name, ("send", to, encode(message))))
+                case Respond(ticket=ticket, response=response):
+                    self.respond(ticket, response)
+
+    def respond(self, ticket: int, response: HttpResponse) -> None:
+        call = self.calls[ticket]
+        self.responses[ticket] += 1
+        call.outcome = dict(response.headers)[OUTCOME_HEADER]
+        call.body = response.body
+        assert self.now <= call.deadline + 1e-6, f"answered late: {call}"
+
+    def step(self, index: int = 0) -> None:
+        """Let one pending thing happen."""
+        name, item = self.pending.pop(index)
+        self.steps += 1
+        match item:
+            case ("send", to, data):
+                self.sent.append((name, to, data))
+                self.pending.append((to, ("receive", name, data)))
+            case ("receive", sender, data):
+                self.receive(name, sender, data)
+            case ("event", event):
+                self.tell(name, event)
+            case ("exchange", request):
+                self.run_upstream(name, request)
+            case ("answer", request, outcome, response):
+                self.end_exchange(name, request, outcome, response)
+        action = self.crash_at.pop(self.steps, None)
+        if action is not None:
+            action()
+
+    def receive(self, name: str, sender: str, data: bytes) -> None:
+        node = self.nodes.get(name)
+        if node is None or not node.is_alive or frozenset((name, sender)) in self.cut:
+            return
+        message = decode(data)
+        assert isinstance(message, Message), message
+        match message:
+            case DispatchRequest():
+                self.pending.append((name, ("exchange", message)))
+                node.exchanges[message.attempt] = (sender, message)
+            case DispatchCancel():
+                pass
+            case _:
+                self.tell(name, Received(InstanceId(sender), message))
+
+    def run_upstream(self, name: str, request: DispatchRequest) -> None:
+        if request.upstream in self.dead_upstreams:
+            self.end_exchange(name, request, DispatchOutcome.NOT_STARTED, None)
+            return
+        key = request.request.body.decode()
+        self.runs[key] += 1
+        self.upstream_answers[key] += 1
+        response = HttpResponse(200, (), b"answer:" + request.request.body)
+        answer = ("answer", request, DispatchOutcome.ANSWERED, response)
+        self.pending.append((name, answer))
+
+    def end_exchange(self, name, request, outcome, response) -> None:
+        entry = self.nodes[name].exchanges.pop(request.attempt, None)
+        if entry is None:
+            return
+        answer = DispatchAnswer(request.attempt, request.upstream, outcome, "", response, 0, 0, 500)
+        self.pending.append((name, ("send", entry[0], encode(answer))))
+
+    def ready(self) -> list[int]:
+        """Return which pending things can happen: those of frozen instances can't."""
+        return [i for i, (name, _) in enumerate(self.pending) if not self.nodes[name].is_frozen]
+
+    def settle(self, limit: int = 20_000) -> None:
+        """Let everything pending happen, in order."""
+        for _ in range(limit):
+            ready = self.ready()
+            if not ready:
+                return
+            self.step(ready[0])
+        raise AssertionError("the instances never come to rest")
+
+    def sleep(self, seconds: float) -> None:
+        """Let time pass, with all that happens in it."""
+        end = self.now + seconds
+        while self.now < end:
+            self.settle()
+            at = [end, self.now + LEASE_SECONDS / 3, *(due for due, _, _ in self.timers)]
+            live = [n for n in self.nodes.values() if n.is_alive and not n.is_frozen]
+            at += [d for n in live if (d := n.service.next_deadline()) is not None]
+            self.now = max(self.now, min(at))
+            due = [timer for timer in self.timers if timer[0] <= self.now]
+            self.timers = [timer for timer in self.timers if timer[0] > self.now]
+            for _, name, home in due:
+                self.exclude(name, home)
+            self.renew()
+            for name, node in list(self.nodes.items()):
+                deadline = node.service.next_deadline()
+                is_due = deadline is not None and deadline <= self.now
+                if is_due and node.is_alive and not node.is_frozen:
+                    self.tell(name, Tick())
+        self.settle()
+
+    # Truth
+
+    def replay_everything(self) -> None:
+        """Deliver every message between instances once more: the latest of late copies."""
+        for sender, to, data in list(self.sent):
+            if sender != to:
+                self.pending.append((to, ("receive", sender, data)))
+        self.settle()
+
+    def check(self) -> None:
+        """Compare what callers were told with what upstreams ran."""
+        for key, count in self.runs.items():
+            assert not key or count <= 1 or key.startswith("t"), f"{key} ran {count} times"
+        for call in self.calls:
+            assert self.responses[call.ticket] <= 1, f"answered twice: {call}"
+            if call.outcome == "not-run":
+                assert self.runs[call.key] == 0, f"ran after not-run: {call}"
+            if call.outcome == "done" and call.key:
+                assert call.body == b"answer:" + call.key.encode(), f"wrong answer: {call}"
+                assert self.runs[call.key] == 1
+            if call.outcome is None and not call.is_broken and self.now >= call.deadline:
+                frozen = self.nodes[call.node].is_frozen
+                assert frozen, f"no outcome by its deadline: {call}"
+
+    def drain(self, name: str) -> None:
+        self.tell(name, Drain())
+
+    def find_roles(self, home=HOME, seed=1):
+        """Return a fresh key whose entry, owner, backup and runner are four instances."""
+        placement = Placement(self.views[home])
+        dispatcher = dispatcher_of(self.views[home], self.upstreams[0].upstream)
+        assert dispatcher is not None
+        random = Random(seed)
+        while True:
+            key = make_key(home, WallTime(START_WALL + self.now), random)
+            partition = partition_of((ORDERS, key))
+            owner, backup = placement.owner(partition), placement.backup(partition)
+            assert owner is not None and backup is not None
+            roles = [owner[0], backup[0], dispatcher.instance]
+            entries = [name for name, _ in placement if name not in roles]
+            if len(set(roles)) == 3 and entries:
+                names = ("entry", "owner", "backup", "runner")
+                return key, dict(zip(names, [entries[0], *roles], strict=True))
--- /dev/null
+++ b/chicorypost/requests/tests/conftest.py
@@ -0,0 +1,18 @@
+"""Few partitions, so that thousands of small worlds can be run."""
+
+import pytest
+
+from chicorypost.requests import _placement
+
+TEST_PARTITIONS = 16
+
+
+@pytest.fixture(autouse=True, scope="package")
+def few_partitions():
+    """Let the placement have as many partitions as five balancers need."""
+    whole = _placement.PARTITIONS
+    _placement.PARTITIONS = TEST_PARTITIONS
+    _placement._rank.cache_clear()
+    yield
+    _placement.PARTITIONS = whole
+    _placement._rank.cache_clear()
