Build the replicated log: storage with syncs, election, replication, linearizable reads

Ruled out: truncating segment files on a conflict (a later entry with an equal index replaces the earlier one on recovery, so files only grow and one kind of write has to be proved); counting members by instance id (an emptied disk would vote again); leases for reads (a frozen process can't trust its clock). Formation by settings alone (an emptied founder would found a second cluster).

--- /dev/null
+++ b/chicorypost/consensus/_core.py
@@ -0,0 +1,240 @@
+"""The state that all parts of a replica share."""
+
+import random
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from chicorypost.base import Effect, InstanceId, Instant, LogIndex, Message, Send, Term
+from chicorypost.consensus import _events
+from chicorypost.consensus._interface import (
+    ProposalRefused,
+    ReadRefused,
+    RecoveredState,
+    RefusalReason,
+    Role,
+)
+from chicorypost.consensus._log import Log
+from chicorypost.consensus._records import (
+    NO_INDEX,
+    NO_TERM,
+    HardState,
+    MemberId,
+    Membership,
+    Snapshot,
+)
+from chicorypost.consensus._settings import ReplicaSettings
+from chicorypost.consensus._writes import WriteQueue
+
+
+@dataclass(slots=True)
+class Progress:
+    """What the leader knows of one other member."""
+
+    member: MemberId
+    next_index: LogIndex
+    last_contact: Instant
+    match_index: LogIndex = NO_INDEX
+    awaiting: int = 0
+    """Sequence number of the message whose answer the next one waits for, or 0."""
+    acknowledged: int = 0
+    """Greatest sequence number that the member has answered."""
+    told_commit: LogIndex = NO_INDEX
+    snapshot_offset: int = 0
+    silent: bool = False
+
+
+@dataclass(slots=True)
+class PendingRead:
+    """A read that waits until a quorum has answered the message numbered `sequence`."""
+
+    read: str
+    index: LogIndex = NO_INDEX
+    sequence: int = 0
+    """0 until the read has a place in the log."""
+
+
+@dataclass(slots=True)
+class Leadership:
+    """What only a leader keeps."""
+
+    first_index: LogIndex
+    """Index of the first entry of its term."""
+    heartbeat_deadline: Instant
+    progress: dict[str, Progress] = field(default_factory=dict)
+    """Other members by generation."""
+    proposals: dict[LogIndex, str] = field(default_factory=dict)
+    reads: list[PendingRead] = field(default_factory=list)
+    sequence: int = 0
+
+
+@dataclass(slots=True)
+class Candidacy:
+    """Votes gathered so far; the own one counts from `own_write` on."""
+
+    votes: set[str] = field(default_factory=set)
+    own_write: int = 0
+
+
+@dataclass(slots=True)
+class SnapshotTransfer:
+    """A snapshot being received."""
+
+    index: LogIndex
+    term: Term
+    data: bytearray = field(default_factory=bytearray)
+
+
+class ReplicaCore:
+    """State shared by election, replication, reads, snapshots and formation."""
+
+    def __init__(
+        self,
+        settings: ReplicaSettings,
+        instance: InstanceId,
+        recovered: RecoveredState,
+        random: random.Random,
+        now: Instant,
+    ) -> None:
+        self.settings = settings
+        self.identity = MemberId(instance, recovered.generation)
+        self.random = random
+        self.now = now
+        self.hard_state = recovered.hard_state
+        self.snapshot = recovered.snapshot
+        self.log = Log(self.base_snapshot(), recovered.entries)
+        self.commit_index = min(recovered.commit_index, self.log.last_index)
+        self.commit_index = max(self.commit_index, self.log.base_index)
+        self.applied_index = NO_INDEX
+        self.writes = WriteQueue(self.log.last_index)
+        self.effects: list[Effect] = []
+        self.role = Role.UNFORMED
+        self.leader: InstanceId | None = None
+        self.leadership: Leadership | None = None
+        self.candidacy = Candidacy()
+        self.receiving: SnapshotTransfer | None = None
+        self.pending_restore = recovered.snapshot
+        self.snapshot_asked = False
+        self.last_contact: dict[InstanceId, Instant] = {}
+        self.waiting: dict[InstanceId, str] = {}
+        self.greetings: dict[InstanceId, tuple[str, bool]] = {}
+        self.foreign_messages = 0
+        self.leader_contact = now
+        self.out_of_touch_since: Instant | None = None
+        self.election_deadline = now
+        self.hello_deadline = now
+        self.restart_election_timer()
+        self.role = self.passive_role()
+
+    @property
+    def term(self) -> Term:
+        """The current term."""
+        return self.hard_state.term
+
+    @property
+    def is_formed(self) -> bool:
+        """Whether this replica belongs to a cluster."""
+        return bool(self.hard_state.cluster)
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether this replica has a vote by its own log."""
+        return self.identity in self.log.membership.voters
+
+    @property
+    def touch_deadline(self) -> Instant:
+        """When this replica is out of touch unless it hears a leader before."""
+        return Instant(self.leader_contact + self.settings.election_seconds)
+
+    def base_snapshot(self) -> Snapshot:
+        """Return the newest snapshot, or the empty state with the founding membership."""
+        if self.snapshot is not None:
+            return self.snapshot
+        return Snapshot(NO_INDEX, NO_TERM, self.hard_state.founding, b"")
+
+    def passive_role(self) -> Role:
+        """Return the role that this replica has when it neither leads nor stands."""
+        if not self.is_formed:
+            return Role.UNFORMED
+        return Role.FOLLOWER if self.is_voter else Role.LEARNER
+
+    def header(self, target: str) -> tuple[str, str, str, Term]:
+        """Return the fields that start each message within the cluster."""
+        return (self.hard_state.cluster, self.identity.generation, target, self.term)
+
+    def send(self, to: InstanceId, message: Message) -> None:
+        """Send a message that doesn't vouch for anything on the disk."""
+        self.effects.append(Send(to, message))
+
+    def send_when_synced(self, to: InstanceId, message: Message) -> None:
+        """Send a message once everything changed so far is synced."""
+        self.writes.hold(Send(to, message))
+
+    def store_hard_state(self, state: HardState) -> None:
+        """Change the hard state in memory and stage it for the disk."""
+        self.hard_state = state
+        self.writes.hard_state = state
+
+    def restart_election_timer(self) -> None:
+        """Choose a new random election deadline."""
+        factor = 1.0 + self.random.random()
+        self.election_deadline = Instant(self.now + factor * self.settings.election_seconds)
+
+    def hear_leader(self, leader: InstanceId) -> None:
+        """Note contact with the leader of the current term."""
+        if self.out_of_touch_since is not None:
+            self.out_of_touch_since = None
+            self.effects.append(_events.IN_TOUCH.emit(leader=leader))
+        self.leader_contact = self.now
+        self.restart_election_timer()
+        self.set_role(self.passive_role(), leader)
+
+    def set_role(self, role: Role, leader: InstanceId | None) -> None:
+        """Take a role and say so if anything has changed."""
+        if (role, leader) == (self.role, self.leader):
+            return
+        self.role = role
+        self.leader = leader
+        fields = {"role": role.value, "term": self.term, "leader": leader}
+        self.effects.append(_events.ROLE_CHANGED.emit(**fields))
+
+    def step_down(self, term: Term) -> None:
+        """Stop leading or standing, and move to `term` if it is a later one."""
+        if term > self.term:
+            self.store_hard_state(replace_state(self.hard_state, term=term, vote=""))
+            self.set_role(self.passive_role(), None)
+        if self.role in (Role.LEADER, Role.CANDIDATE, Role.PRE_CANDIDATE):
+            self.set_role(self.passive_role(), None)
+        self._refuse_pending()
+        self.candidacy = Candidacy()
+
+    def _refuse_pending(self) -> None:
+        leadership, self.leadership = self.leadership, None
+        if leadership is None:
+            return
+        self.restart_election_timer()
+        for proposal in leadership.proposals.values():
+            self.effects.append(ProposalRefused(proposal, RefusalReason.LOST, None))
+        for read in leadership.reads:
+            self.effects.append(ReadRefused(read.read, RefusalReason.LOST, None))
+
+    def refusal_reason(self) -> RefusalReason:
+        """Return why a replica that doesn't lead refuses."""
+        if self.out_of_touch_since is not None:
+            return RefusalReason.OUT_OF_TOUCH
+        return RefusalReason.NOT_LEADER
+
+
+def replace_state(state: HardState, term: Term, vote: str) -> HardState:
+    """Return the state with another term and vote."""
+    return HardState(term, vote, state.cluster, state.founding)
+
+
+def describe_members(members: tuple[MemberId, ...]) -> str:
+    """Return the members as one line for logs."""
+    return " ".join(f"{member.instance}/{member.generation}" for member in members)
+
+
+def quorum_value(membership: Membership, values: Mapping[str, float]) -> float:
+    """Return the greatest value that a quorum of the voters has reached; unknown ones have 0."""
+    reached = sorted((values.get(voter.generation, 0) for voter in membership.voters), reverse=True)
+    return reached[membership.quorum - 1] if reached else 0
--- /dev/null
+++ b/chicorypost/consensus/_frames.py
@@ -0,0 +1,72 @@
+"""Frames: checksummed records in a file.
+
+A frame is a header (marker, length and checksum of the payload, checksum of the header) and a
+payload. Each write to the log is one frame and is synced before the next one, so only the last
+frame of the last file can be torn by a crash.
+"""
+
+import struct
+import zlib
+from dataclasses import dataclass
+
+MARKER = b"\xc3CPL"
+_FIELDS = struct.Struct(">4sII")
+_CHECKSUM = struct.Struct(">I")
+HEADER_BYTES = _FIELDS.size + _CHECKSUM.size
+
+
+@dataclass(frozen=True, slots=True)
+class FrameScan:
+    """Frames read from a file.
+
+    `valid_bytes` is where the first damaged byte is, or the file's size. `has_frame_behind` tells
+    whether a whole frame follows the damage, which an interrupted last write can't explain.
+    """
+
+    payloads: tuple[bytes, ...]
+    valid_bytes: int
+    has_frame_behind: bool
+
+
+def make_frame(payload: bytes) -> bytes:
+    """Return the frame of a payload."""
+    fields = _FIELDS.pack(MARKER, len(payload), zlib.crc32(payload))
+    return fields + _CHECKSUM.pack(zlib.crc32(fields)) + payload
+
+
+def scan_frames(data: bytes) -> FrameScan:
+    """Read frames up to the end or the first damage."""
+    payloads = []
+    position = 0
+    while position < len(data):
+        payload = _read_frame(data, position)
+        if payload is None:
+            break
+        payloads.append(payload)
+        position += HEADER_BYTES + len(payload)
+    return FrameScan(tuple(payloads), position, _finds_frame(data, position + 1))
+
+
+def _read_frame(data: bytes, position: int) -> bytes | None:
+    start = position + HEADER_BYTES
+    header = data[position:start]
+    if len(header) < HEADER_BYTES:
+        return None
+    fields = header[: _FIELDS.size]
+    (header_checksum,) = _CHECKSUM.unpack(header[_FIELDS.size :])
+    marker, length, checksum = _FIELDS.unpack(fields)
+    if marker != MARKER or zlib.crc32(fields) != header_checksum:
+        return None
+    payload = data[start : start + length]
+    if len(payload) < length or zlib.crc32(payload) != checksum:
+        return None
+    return payload
+
+
+def _finds_frame(data: bytes, position: int) -> bool:
+    position = data.find(MARKER, position)
+    while position >= 0:
+        if _read_frame(data, position) is not None:
+            return True
+        position = data.find(MARKER, position + 1)
+    return False
--- a/chicorypost/consensus/_interface.py
+++ b/chicorypost/consensus/_interface.py
@@ -229,8 +229,8 @@
     """A file doesn't have its checksum or form, and not through an interrupted write."""
     GAP = "gap"
     """Entries between the snapshot and the log, or within the log, are missing."""
-    NO_IDENTITY = "no-identity"
-    """There is a log but no identity."""
+    MISSING_FILE = "missing-file"
+    """There is a log but no identity or no hard state."""
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/chicorypost/consensus/_membership.py
@@ -0,0 +1,88 @@
+"""Membership changes, one member at a time."""
+
+from chicorypost.base import InstanceId
+from chicorypost.consensus._core import Leadership, ReplicaCore
+from chicorypost.consensus._interface import (
+    AddLearner,
+    MembershipChange,
+    PromoteLearner,
+    RefusalReason,
+    RemoveMember,
+)
+from chicorypost.consensus._records import MemberId, Membership
+
+Refusal = tuple[RefusalReason, str]
+
+
+def plan_change(core: ReplicaCore, change: MembershipChange) -> Membership | Refusal:
+    """Return the membership after a change, or why it is refused.
+
+    Two memberships that differ by one voter have a member in common in any two of their quorums.
+    That holds only if the earlier change is committed, and not before the leader has committed an
+    entry of its own term.
+    """
+    leadership = core.leadership
+    assert leadership is not None
+    if core.log.membership_index > core.commit_index:
+        return RefusalReason.CHANGE_PENDING, "an earlier membership change is not committed yet"
+    if core.commit_index < leadership.first_index:
+        return RefusalReason.CHANGE_PENDING, "the leader has committed nothing in its term yet"
+    match change:
+        case AddLearner(instance, generation):
+            return _add(core.log.membership, MemberId(instance, generation))
+        case PromoteLearner(instance, generation):
+            return _promote(core, leadership, instance, generation)
+        case RemoveMember(instance, generation):
+            return _remove(core.log.membership, instance, generation)
+
+
+def _add(membership: Membership, member: MemberId) -> Membership | Refusal:
+    if not member.generation:
+        return RefusalReason.INVALID_CHANGE, "generation is empty"
+    if member in membership.members:
+        return RefusalReason.INVALID_CHANGE, f"{member.instance} is a member already"
+    return Membership(membership.voters, (*membership.learners, member))
+
+
+def _promote(
+    core: ReplicaCore, leadership: Leadership, instance: InstanceId, generation: str | None
+) -> Membership | Refusal:
+    membership = core.log.membership
+    learner = _find(membership.learners, instance, generation)
+    if isinstance(learner, str):
+        return RefusalReason.INVALID_CHANGE, learner
+    synced = leadership.progress[learner.generation].match_index
+    if synced < core.commit_index:
+        detail = f"{instance} has synced up to {synced}, committed is {core.commit_index}"
+        return RefusalReason.NOT_CAUGHT_UP, detail
+    learners = tuple(member for member in membership.learners if member != learner)
+    return Membership((*membership.voters, learner), learners)
+
+
+def _remove(
+    membership: Membership, instance: InstanceId, generation: str | None
+) -> Membership | Refusal:
+    member = _find(membership.members, instance, generation)
+    if isinstance(member, str):
+        return RefusalReason.INVALID_CHANGE, member
+    voters = tuple(voter for voter in membership.voters if voter != member)
+    if not voters:
+        return RefusalReason.INVALID_CHANGE, "the last voter can't be removed"
+    learners = tuple(learner for learner in membership.learners if learner != member)
+    return Membership(voters, learners)
+
+
+def _find(
+    members: tuple[MemberId, ...], instance: InstanceId, generation: str | None
+) -> MemberId | str:
+    found = [
+        member
+        for member in members
+        if member.instance == instance and generation in (None, member.generation)
+    ]
+    if not found:
+        return f"no such member: {instance}"
+    if len(found) > 1:
+        generations = ", ".join(member.generation for member in found)
+        return f"{instance} has several generations, name one of: {generations}"
+    return found[0]
--- a/chicorypost/consensus/_replica.py
+++ b/chicorypost/consensus/_replica.py
@@ -3,10 +3,69 @@
 import random
 from typing import Any
 
-from chicorypost.base import Effect, Event, InstanceId, Instant, LogIndex, Term
-from chicorypost.consensus._interface import RecoveredState, Role
+from chicorypost.base import (
+    Effect,
+    Event,
+    InstanceId,
+    Instant,
+    LogIndex,
+    Message,
+    Received,
+    Term,
+    Tick,
+)
+from chicorypost.consensus._application import advance_applied
+from chicorypost.consensus._core import ReplicaCore
+from chicorypost.consensus._dump import dump_replica
+from chicorypost.consensus._election import (
+    count_own_vote,
+    handle_vote_reply,
+    handle_vote_request,
+    start_pre_vote,
+)
+from chicorypost.consensus._formation import (
+    handle_cluster_info,
+    handle_hello,
+    needs_hello,
+    send_hellos,
+)
+from chicorypost.consensus._interface import (
+    ChangeMembership,
+    Persisted,
+    Propose,
+    Read,
+    RecoveredState,
+    Role,
+    SnapshotTaken,
+)
+from chicorypost.consensus._messages import (
+    AppendReply,
+    AppendRequest,
+    ClusterInfo,
+    Hello,
+    ReplicaMessage,
+    SnapshotChunk,
+    SnapshotReply,
+    VoteReply,
+    VoteRequest,
+)
+from chicorypost.consensus._proposals import change_membership, propose
+from chicorypost.consensus._reads import advance_reads, register_read
 from chicorypost.consensus._records import Membership
+from chicorypost.consensus._replication import (
+    advance_commit,
+    check_quorum,
+    check_silence,
+    check_touch,
+    handle_append,
+    handle_append_reply,
+    note_answer,
+    send_append,
+    send_due,
+    send_heartbeats,
+)
 from chicorypost.consensus._settings import ReplicaSettings
+from chicorypost.consensus._snapshots import handle_chunk, note_chunk_answer, store_snapshot
 
 
 class Replica:
@@ -39,67 +98,174 @@
         random: random.Random,
         now: Instant,
     ) -> None:
-        self.settings = settings
-        self.identity = identity
+        self.core = ReplicaCore(settings, identity, recovered, random, now)
+        self.started = False
 
     def handle(self, event: Event, now: Instant) -> list[Effect]:
         """Take one event and return the effects, in the order to carry them out."""
-        raise NotImplementedError
+        core = self.core
+        core.now = now
+        core.effects = []
+        self.started = True
+        check_quorum(core)
+        self._take(event)
+        advance_applied(core)
+        send_due(core)
+        advance_reads(core)
+        core.effects.extend(core.writes.flush(core.log.last_index, core.commit_index))
+        return core.effects
+
+    def _take(self, event: Event) -> None:
+        core = self.core
+        match event:
+            case Received(sender, message):
+                self._receive(sender, message)
+            case Tick():
+                self._check_deadlines()
+            case Persisted(write):
+                core.effects.extend(core.writes.confirm(write))
+                count_own_vote(core)
+                advance_commit(core)
+            case Propose():
+                propose(core, event)
+            case Read():
+                register_read(core, event)
+            case ChangeMembership():
+                change_membership(core, event)
+            case SnapshotTaken():
+                store_snapshot(core, event)
+            case _:
+                raise TypeError(f"event is not for a replica: got {type(event).__name__}")
+
+    def _receive(self, sender: InstanceId, message: Message) -> None:
+        core = self.core
+        match message:
+            case Hello():
+                handle_hello(core, sender, message)
+            case ClusterInfo():
+                handle_cluster_info(core, message)
+            case ReplicaMessage():
+                self._receive_in_cluster(sender, message)
+            case _:
+                raise TypeError(f"message is not for a replica: got {type(message).__name__}")
+
+    def _receive_in_cluster(self, sender: InstanceId, message: ReplicaMessage) -> None:
+        core = self.core
+        is_ours = message.cluster == core.hard_state.cluster
+        if not is_ours or message.target != core.identity.generation:
+            core.foreign_messages += 1
+            return
+        core.last_contact[sender] = core.now
+        match message:
+            case VoteRequest():
+                handle_vote_request(core, sender, message)
+            case AppendRequest():
+                handle_append(core, sender, message)
+            case SnapshotChunk():
+                handle_chunk(core, sender, message)
+            case _:
+                self._receive_reply(message)
+
+    def _receive_reply(self, message: ReplicaMessage) -> None:
+        core = self.core
+        if message.term > core.term:
+            core.step_down(message.term)
+        if message.term < core.term and not isinstance(message, VoteReply):
+            return
+        match message:
+            case VoteReply():
+                handle_vote_reply(core, message)
+            case AppendReply():
+                handle_append_reply(core, message)
+            case SnapshotReply():
+                progress = note_answer(core, message.source, message.sequence)
+                if progress is not None:
+                    note_chunk_answer(core, progress, message)
+                    send_append(core, progress)
+            case _:
+                core.foreign_messages += 1
+
+    def _check_deadlines(self) -> None:
+        core = self.core
+        check_touch(core)
+        if core.leadership is not None:
+            if core.now >= core.leadership.heartbeat_deadline:
+                send_heartbeats(core)
+                check_silence(core)
+            return
+        if core.is_voter and core.now >= core.election_deadline:
+            start_pre_vote(core)
+        if needs_hello(core) and core.now >= core.hello_deadline:
+            send_hellos(core)
 
     def next_deadline(self) -> Instant | None:
         """Return when the replica next wants a `Tick`."""
-        raise NotImplementedError
+        core = self.core
+        if not self.started:
+            return core.now
+        if core.leadership is not None:
+            return core.leadership.heartbeat_deadline
+        deadlines = []
+        if core.out_of_touch_since is None:
+            deadlines.append(core.touch_deadline)
+        if core.is_voter:
+            deadlines.append(core.election_deadline)
+        if needs_hello(core):
+            deadlines.append(core.hello_deadline)
+        return min(deadlines, default=None)
 
     def dump(self) -> dict[str, Any]:
         """Return the whole decision state as values that JSON can hold."""
-        raise NotImplementedError
+        return dump_replica(self.core)
 
     @property
     def role(self) -> Role:
         """What this replica currently is."""
-        raise NotImplementedError
+        return self.core.role
 
     @property
     def term(self) -> Term:
         """The current term."""
-        raise NotImplementedError
+        return self.core.term
 
     @property
     def leader(self) -> InstanceId | None:
         """The leader of the current term, if known."""
-        raise NotImplementedError
+        return self.core.leader
 
     @property
     def commit_index(self) -> LogIndex:
         """Index of the last entry known to be committed."""
-        raise NotImplementedError
+        return self.core.commit_index
 
     @property
     def applied_index(self) -> LogIndex:
         """Index of the last entry that was handed to the application."""
-        raise NotImplementedError
+        return self.core.applied_index
 
     @property
     def members(self) -> Membership:
         """The membership in effect, which may not be committed yet."""
-        raise NotImplementedError
+        return self.core.log.membership
 
     @property
     def last_contact(self) -> dict[InstanceId, Instant]:
         """When this replica last received a message from each peer."""
-        raise NotImplementedError
+        return dict(self.core.last_contact)
 
     @property
     def out_of_touch_since(self) -> Instant | None:
         """Last contact with a leader (as leader: with a quorum) if that is too long ago."""
-        raise NotImplementedError
+        return self.core.out_of_touch_since
 
     @property
     def silent_members(self) -> dict[InstanceId, Instant]:
         """Members that this leader doesn't hear, each with the time of its last message."""
-        raise NotImplementedError
+        leadership = self.core.leadership
+        peers = leadership.progress.values() if leadership else ()
+        return {peer.member.instance: peer.last_contact for peer in peers if peer.silent}
 
     @property
     def waiting_members(self) -> dict[InstanceId, str]:
         """Instances that wait to be added, each with the generation of its data folder."""
-        raise NotImplementedError
+        return dict(self.core.waiting)
--- a/chicorypost/daemons/_engine.py
+++ b/chicorypost/daemons/_engine.py
@@ -7,8 +7,17 @@
 
 import trio
 
-from chicorypost.base import Effect, Event, InstanceId, Instant, Message, Received, Send
-from chicorypost.base import StateMachine, Tick
+from chicorypost.base import (
+    Effect,
+    Event,
+    InstanceId,
+    Instant,
+    Message,
+    Received,
+    Send,
+    StateMachine,
+    Tick,
+)
 from chicorypost.events import Emit
 
 WAKE_SLACK_SECONDS = 0.001
