--- a/chicorypost/consensus/tests/fakes.py
+++ b/chicorypost/consensus/tests/fakes.py
@@ -117,6 +117,12 @@
     return inode.durable + bytes(extra)
 
 
+def last_index(recovered):
+    if recovered.entries:
+        return recovered.entries[-1].index
+    return recovered.snapshot.index if recovered.snapshot else 0
+
+
 @dataclass
 class Node:
     instance: InstanceId
@@ -127,6 +133,7 @@
     applied_index: int = 0
     writes: list = field(default_factory=list)
     frozen: bool = False
+    inbox: list = field(default_factory=list)
 
 
 class Cluster:
@@ -173,6 +180,7 @@
             self.kill(node)
             return
         assert isinstance(recovered, RecoveredState), recovered
+        assert last_index(recovered) >= node.applied_index, "the disk went back behind the state"
         node.state, node.applied_index, node.writes = [], 0, []
         rng = random.Random(self.rng.random())
         node.replica = Replica(self.settings, node.instance, recovered, rng, self.now)
@@ -180,14 +188,18 @@
 
     def kill(self, node, empty=False):
         node.files = CrashingFileSystem() if empty else node.files.crash(self.rng)
-        node.replica, node.writes, node.frozen = None, [], False
+        node.replica, node.writes, node.inbox, node.frozen = None, [], [], False
+        node.applied_index = 0 if empty else node.applied_index
 
     def restart(self, node, empty=False):
         self.kill(node, empty)
         self.start(node)
 
     def handle(self, node, event):
-        if node.replica is None or node.frozen:
+        if node.replica is None:
+            return
+        if node.frozen:
+            node.inbox.extend([event] if isinstance(event, Received) else [])
             return
         effects = node.replica.handle(event, self.now)
         for effect in effects:
@@ -234,6 +246,8 @@
 
     def run_disk(self, node, count=None):
         """Carry out writes that are under way; the node may be killed in one."""
+        if node.frozen:
+            return
         todo, node.writes = node.writes[:count], node.writes[len(node.writes[:count]) :]
         for persist in todo:
             try:
@@ -275,19 +289,28 @@
         others = [name for name in self.nodes if name not in names]
         self.cut |= {frozenset((name, other)) for name in names for other in others}
 
+    def thaw(self, node):
+        node.frozen = False
+        inbox, node.inbox = node.inbox, []
+        for event in inbox:
+            self.handle(node, event)
+
     def heal(self):
         self.cut = set()
         for node in self.nodes.values():
-            node.frozen = False
             node.files.kill_at = None
+            self.thaw(node)
             if node.replica is None:
                 self.start(node)
 
     def leader(self):
-        """Return the node that leads in the greatest term, or None."""
-        leading = [n for n in self.nodes.values() if n.replica and n.replica.role is Role.LEADER]
+        """Return the node that leads in the greatest term and isn't frozen, or None."""
+        leading = [n for n in self.nodes.values() if self.leads(n)]
         return max(leading, key=lambda node: node.replica.term, default=None)
 
+    def leads(self, node):
+        return node.replica and not node.frozen and node.replica.role is Role.LEADER
+
     def elect(self):
         for _ in range(200):
             if self.leader() is not None and self.leader().replica.commit_index > 0:
