Add the upstream directory: keepers, relays, digests, draining and endpoint takeover

Cause: announcements reach any balancer; all must know a draining upstream within 3 s, and none may use an endpoint that another service's upstream has taken, at a few KB/s of control traffic. Ruled out: renewals sent to everybody (7,800 upstreams x 810 instances); one validity deadline per record on every balancer (renewals would have to spread); sequence numbers with a change log (digests repair every gap, also after a relay change, without a log); the greater incarnation wins a contested endpoint (incarnations of different upstreams don't compare). Change: the keeper alone holds validity and warm-up; changes go to two relays and along a tree of bounded fan-out; heartbeats carry a digest per data centre, and only an equal digest extends the single deadline until which a data centre's records get new work; rivals for an endpoint are both hidden; a keeper without a lease ends nothing. Before: with a foreign balancer keeping too, the convergence test ended with warm-up stage 6 of 5 and differing digests; placement per data centre and a bound mended it.

--- a/chicorypost/upstreams/__init__.py
+++ b/chicorypost/upstreams/__init__.py
@@ -1,5 +1,6 @@
 """Upstream announcements, dispatch under slots, health and ejection."""
 
+from chicorypost.upstreams._announcement import AnnouncementRefusal, RefusalReason
 from chicorypost.upstreams._chooser import NoUpstream, NoUpstreamReason, UpstreamChooser
 from chicorypost.upstreams._directory import Announced, UpstreamDirectory
 from chicorypost.upstreams._dispatcher import (
@@ -8,7 +9,6 @@
     Drain,
     ExchangeEnded,
     StartExchange,
-    dispatcher_of,
 )
 from chicorypost.upstreams._messages import (
     DispatchAnswer,
@@ -18,10 +18,12 @@
     HttpRequest,
     HttpResponse,
 )
+from chicorypost.upstreams._placement import dispatcher_of
 from chicorypost.upstreams._settings import ChooserSettings, DirectorySettings, DispatcherSettings
 
 __all__ = [
     "Announced",
+    "AnnouncementRefusal",
     "CancelExchange",
     "ChooserSettings",
     "DirectorySettings",
@@ -37,6 +39,7 @@
     "HttpResponse",
     "NoUpstream",
     "NoUpstreamReason",
+    "RefusalReason",
     "StartExchange",
     "UpstreamChooser",
     "UpstreamDirectory",
--- a/chicorypost/upstreams/_dispatcher.py
+++ b/chicorypost/upstreams/_dispatcher.py
@@ -10,9 +10,6 @@
     Instant,
     Member,
     Upstream,
-    UpstreamId,
-    View,
-    rank_members,
 )
 from chicorypost.upstreams._messages import DispatchOutcome, HttpRequest, HttpResponse
 from chicorypost.upstreams._settings import DispatcherSettings
@@ -54,11 +51,6 @@
     """Take no new attempts, finish what runs and hand the upstreams over: a graceful stop."""
 
 
-def dispatcher_of(view: View, upstream: UpstreamId) -> Member | None:
-    """Return the one balancer of a view that may send requests to an upstream."""
-    return next(iter(rank_members(view, b"dispatch/" + upstream.encode(), 1)), None)
-
-
 class Dispatcher:
     """State machine of the balancer that dispatches to some upstreams.
 
--- /dev/null
+++ b/chicorypost/upstreams/_keeper.py
@@ -0,0 +1,153 @@
+"""Keeper of announcements: validity and warm-up of the upstreams placed on this balancer."""
+
+from collections.abc import Iterable
+from typing import Any
+
+from chicorypost.base import (
+    DataCentreId,
+    InstanceId,
+    Instant,
+    Upstream,
+    UpstreamId,
+    UpstreamState,
+    View,
+)
+from chicorypost.upstreams._directory_messages import DirectoryRecord
+from chicorypost.upstreams._placement import Placement
+from chicorypost.upstreams._settings import DirectorySettings
+
+
+class Keeper:
+    """Deadlines of the announcements that this balancer keeps.
+
+    Until there is a view, a balancer keeps whatever is announced to it.
+    """
+
+    def __init__(self, settings: DirectorySettings, instance: InstanceId) -> None:
+        self.settings = settings
+        self.instance = instance
+        self.placements: dict[DataCentreId, Placement] = {}
+        self.valid_until: dict[UpstreamId, Instant] = {}
+        self.warmths: dict[UpstreamId, int] = {}
+        self.next_stage: dict[UpstreamId, Instant] = {}
+        self.lease_end: Instant | None = None
+
+    def owner(self, upstream: Upstream) -> InstanceId | None:
+        """Return the keeper of an upstream, or None if it is not known."""
+        placement = self.placements.get(upstream.data_centre)
+        return placement.owner(upstream.upstream) if placement is not None else None
+
+    def forget(self, upstream: Upstream) -> None:
+        """Drop what is remembered of an upstream that no longer exists."""
+        placement = self.placements.get(upstream.data_centre)
+        if placement is not None:
+            placement.forget([upstream.upstream])
+
+    def keeps(self, upstream: UpstreamId) -> bool:
+        """Return whether this balancer keeps the upstream."""
+        return upstream in self.valid_until
+
+    def acts(self, now: Instant) -> bool:
+        """Return whether this balancer holds its lease."""
+        return self.lease_end is not None and now < self.lease_end
+
+    def vouches(self, upstream: UpstreamId, now: Instant) -> bool:
+        """Return whether this balancer keeps the upstream and holds its lease."""
+        return self.keeps(upstream) and self.acts(now)
+
+    def hold_lease(self, end: Instant | None, now: Instant) -> set[UpstreamId]:
+        """Take the end of the lease and return the kept upstreams if it was gained or lost.
+
+        After a gap, announcements may have gone elsewhere: validity starts afresh.
+        """
+        acted = self.acts(now)
+        self.lease_end = end
+        if acted == self.acts(now):
+            return set()
+        longest = Instant(now + self.settings.max_valid_seconds)
+        self.valid_until = dict.fromkeys(self.valid_until, longest)
+        return set(self.valid_until)
+
+    def review_lease(self, now: Instant) -> set[UpstreamId]:
+        """Drop a lease that has ended and return the kept upstreams if it has."""
+        if self.lease_end is None or self.acts(now):
+            return set()
+        self.lease_end = None
+        return set(self.valid_until)
+
+    def renew(self, upstream: Upstream, until: Instant, now: Instant) -> None:
+        """Note the validity of an announcement, if this balancer is the keeper."""
+        if self.owner(upstream) not in (None, self.instance):
+            return
+        self.valid_until[upstream.upstream] = until
+
+    def learned(self, record: DirectoryRecord, now: Instant) -> None:
+        """Follow a record that this balancer has taken."""
+        name = record.upstream.upstream
+        if record.gone:
+            self._drop(name)
+            return
+        if self.owner(record.upstream) == self.instance and name not in self.valid_until:
+            self.valid_until[name] = Instant(now + self.settings.max_valid_seconds)
+        if self.keeps(name):
+            self._follow_warmth(record, now)
+
+    def apply(self, view: View, upstreams: Iterable[Upstream], now: Instant) -> None:
+        """Take a view: what moves here gets the longest validity, what moves away is dropped."""
+        self.placements.setdefault(view.data_centre, Placement()).apply(view)
+        for upstream in upstreams:
+            name = upstream.upstream
+            if self.owner(upstream) != self.instance:
+                self._drop(name)
+            elif name not in self.valid_until:
+                self.valid_until[name] = Instant(now + self.settings.max_valid_seconds)
+                self._schedule(name, upstream.state, now)
+
+    def expired(self, now: Instant) -> list[UpstreamId]:
+        """Return the upstreams whose validity has ended; none without a lease."""
+        if not self.acts(now):
+            return []
+        return sorted(name for name, until in self.valid_until.items() if until <= now)
+
+    def warmed(self, now: Instant) -> list[UpstreamId]:
+        """Advance the upstreams whose next warm-up stage is due, and return them."""
+        if not self.acts(now):
+            return []
+        due = sorted(name for name, at in self.next_stage.items() if at <= now)
+        for name in due:
+            self.warmths[name] = min(self.warmth(name) + 1, self.settings.slow_start_stages - 1)
+            del self.next_stage[name]
+            self._schedule(name, UpstreamState.READY, now)
+        return due
+
+    def warmth(self, upstream: UpstreamId) -> int:
+        """Return the warm-up stage of an upstream, from 0."""
+        return self.warmths.get(upstream, 0)
+
+    def next_deadline(self) -> Instant | None:
+        """Return the earliest end of validity or of a warm-up stage, None without a lease."""
+        if self.lease_end is None:
+            return None
+        return min((*self.valid_until.values(), *self.next_stage.values()), default=None)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the deadlines as values that JSON can hold."""
+        return {"valid_until": dict(self.valid_until), "next_stage": dict(self.next_stage)}
+
+    def _follow_warmth(self, record: DirectoryRecord, now: Instant) -> None:
+        name = record.upstream.upstream
+        self.warmths[name] = record.warmth
+        if record.upstream.state is not UpstreamState.READY:
+            self.next_stage.pop(name, None)
+        elif name not in self.next_stage:
+            self._schedule(name, record.upstream.state, now)
+
+    def _schedule(self, name: UpstreamId, state: UpstreamState, now: Instant) -> None:
+        stages = self.settings.slow_start_stages
+        if state is UpstreamState.READY and self.warmth(name) < stages - 1:
+            stage_seconds = self.settings.slow_start_seconds / stages
+            self.next_stage[name] = Instant(now + stage_seconds)
+
+    def _drop(self, name: UpstreamId) -> None:
+        for table in (self.valid_until, self.warmths, self.next_stage):
+            table.pop(name, None)
