Hand slots over in two steps with a register of newer flows at owner and backup

Cause: packets of one flow reach any balancer, and upstreams change while flows run; a table alone sends the older flows of a moved slot to the wrong upstream. Ruled out: asking the owner for every flow (control bytes grow with all flows); a table history (cannot tell an old flow from a new one); tables worked out by each balancer from its own directory (no two need be equal while news spreads, and nothing says when everybody knows a move). Change: one coordinator per service issues table versions; every member of the domain (the live members of all reachable data centres) confirms a version to every owner together with the opens it placed lately; only then does an owner place opens on the new upstream, stored at a backup before anyone is told. After any change of members an owner first hears from every member. Moves end when the former upstream is gone or idle. An exhaustive explorer drives the real routers through every order of delivery. Before: flows broke on every move. Conclusion: single losses, joins, replacements, freezes and two moves at once keep flows whole; losing owner and backup at once breaks the flows that only they had registered.

--- a/chicorypost/flows/_interface.py
+++ b/chicorypost/flows/_interface.py
@@ -14,6 +14,7 @@
     NO_TABLE = "no-table"
     NO_UPSTREAM = "no-upstream"
     UPSTREAM_GONE = "upstream-gone"
+    WRONG_SERVICE = "wrong-service"
     UNREACHABLE = "unreachable"
     TOO_MANY_HOPS = "too-many-hops"
     HELD_LIMIT = "held-limit"
--- /dev/null
+++ b/chicorypost/flows/_paths.py
@@ -0,0 +1,77 @@
+"""The path of one packet: flow cache, slot table, then the data centre of the upstream."""
+
+from chicorypost.base import Instant
+from chicorypost.flows._interface import DROPPED, HELD, Decision, Dropped, DropReason
+from chicorypost.flows._state import RecentOpen, RouterState, ServiceState
+from chicorypost.flows._table import SlotPhase
+from chicorypost.flows._targets import Target
+
+
+class Paths:
+    """Chooses the path of packets from what this balancer knows by itself."""
+
+    def __init__(self, state: RouterState) -> None:
+        self.state = state
+
+    def decide(
+        self, service: ServiceState, flow: int, opens: bool, now: Instant, hops: int
+    ) -> Decision:
+        """Choose what to do with a packet of a flow.
+
+        Returns
+        -------
+        Decision
+            `Held` when only the slot's owner, or a newer table, can tell.
+        """
+        state = self.state
+        if not opens:
+            index = state.cache.get(flow)
+            if index is not None:
+                return self._send_to(state.targets.by_index[index], service, flow, hops)
+        elif not service.ready:
+            return DROPPED[DropReason.NO_UPSTREAM]
+        table = service.table
+        if table is None or not service.usable:
+            return HELD
+        entry = table.entries[flow % len(table.entries)]
+        if entry.phase is not SlotPhase.STABLE:
+            return HELD
+        if entry.default is None:
+            return HELD if opens else DROPPED[DropReason.NO_UPSTREAM]
+        target = state.targets.by_name.get(entry.default)
+        if target is None:
+            return HELD
+        if opens:
+            if not state.takes_opens(entry.default, service, now):
+                return HELD
+            state.recent.append(RecentOpen(now, service.service, flow, entry.default))
+        decision = self._send_to(target, service, flow, hops)
+        if type(decision) is not Dropped:
+            state.cache.put(flow, target.index)
+        return decision
+
+    def _send_to(self, target: Target, service: ServiceState, flow: int, hops: int) -> Decision:
+        state = self.state
+        if not target.live:
+            return DROPPED[DropReason.UPSTREAM_GONE]
+        if not target.serves(service.spec.selector):
+            return DROPPED[DropReason.WRONG_SERVICE]
+        table = service.table
+        if table is not None and table.moving:
+            slot = flow % len(table.entries)
+            if slot in table.moving:
+                self._note_other(service, slot, target)
+        if target.upstream.data_centre == state.data_centre:
+            return target.forward
+        passes = state.passes.get(target.upstream.data_centre)
+        if not passes:
+            return DROPPED[DropReason.UNREACHABLE]
+        if hops >= state.settings.max_hops:
+            return DROPPED[DropReason.TOO_MANY_HOPS]
+        return passes[flow % len(passes)]
+
+    def _note_other(self, service: ServiceState, slot: int, target: Target) -> None:
+        """Note that a moving slot still has flows on another upstream than the current one."""
+        assert service.table is not None
+        if target.upstream.upstream != service.table.entries[slot].current:
+            service.other_seen.add(slot)
--- a/chicorypost/flows/_router.py
+++ b/chicorypost/flows/_router.py
@@ -1,33 +1,85 @@
 """The flow router of one balancer."""
 
+import math
 import random
-from collections import Counter
+from collections import deque
 from typing import Any
 
 from chicorypost.base import (
-    Address,
     DataCentreId,
     Effect,
     Event,
     InstanceId,
     Instant,
     LeaseChanged,
-    Upstream,
-    UpstreamId,
+    Message,
+    Received,
+    Send,
     UpstreamsChanged,
-    UpstreamState,
+    View,
     ViewChanged,
     hash64,
 )
 from chicorypost.configuration import ConfigurationApplied, ConfigurationDocument
-from chicorypost.flows._interface import DROPPED, Decision, DropReason, ForwardTo, PassTo
+from chicorypost.flows._asks import Asks
+from chicorypost.flows._coordinator import Coordinator
+from chicorypost.flows._domain import Domain
+from chicorypost.flows._events import DOMAIN_ADOPTED, LEASE_LAPSED
+from chicorypost.flows._interface import (
+    DROPPED,
+    HELD,
+    Decision,
+    Dropped,
+    DropReason,
+    PassTo,
+    ReachableChanged,
+    ReleaseHeld,
+)
+from chicorypost.flows._messages import (
+    FlowAnswer,
+    FlowAsk,
+    FlowsStored,
+    SlotActivity,
+    StateAnswer,
+    StatePull,
+    StoreFlows,
+    TableConfirm,
+    TableRequest,
+    TableUpdate,
+    pack_ages,
+)
+from chicorypost.flows._owner import Owner
 from chicorypost.flows._packet import BadPacket, ParsedPacket
-from chicorypost.flows._plan import plan_moves
+from chicorypost.flows._paths import Paths
+from chicorypost.flows._register import FlowRegister
 from chicorypost.flows._settings import FlowSettings
+from chicorypost.flows._state import RouterState, ServiceState
+from chicorypost.flows._sync import Sync
 
 
 class FlowRouter:
-    """Chooses the upstream of each packet."""
+    """Chooses the upstream of each packet so that flows stay whole while slots move.
+
+    Parameters
+    ----------
+    settings : FlowSettings
+        Bounds and times.
+    self_instance : InstanceId
+        The balancer that this router belongs to.
+    data_centre : DataCentreId
+        The data centre of the balancer.
+    random : random.Random
+        Source of randomness.
+    now : Instant
+        Current time.
+
+    Notes
+    -----
+    A packet is looked up in the flow cache, then in the slot table. Only where the slot is moving
+    and the flow is not cached does it wait for the answer of the slot's owner. Nothing is
+    forwarded without a live lease, nor by a table that may be older than a move that this balancer
+    did not confirm.
+    """
 
     def __init__(
         self,
@@ -38,72 +90,301 @@
         now: Instant,
     ) -> None:
         self.settings = settings
-        self.instance = self_instance
-        self.data_centre = data_centre
-        self.random = random
-        self.counters: Counter[str] = Counter()
-        self.document = ConfigurationDocument()
-        self.upstreams: dict[UpstreamId, Upstream] = {}
-        self.views: dict[DataCentreId, ViewChanged] = {}
-        self.lease_end: Instant | None = None
-        self.tables: dict[Address, list[Decision]] = {}
+        self.state = RouterState(settings, self_instance, data_centre, random, now)
+        self.paths = Paths(self.state)
+        self.sync = Sync(self.state)
+        self.owner = Owner(self.state)
+        self.coordinator = Coordinator(self.state, self.sync)
+        self.asks = Asks(self.state, self.paths.decide)
+        self.report_at: Instant | None = None
 
     def route(self, packet: ParsedPacket, now: Instant, hops: int = 0) -> Decision:
-        """Choose what to do with a packet."""
-        if self.lease_end is None or now >= self.lease_end:
-            return DROPPED[DropReason.NO_LEASE]
-        table = self.tables.get(packet.address)
-        if table is None:
-            return DROPPED[DropReason.UNKNOWN_ADDRESS]
-        return table[hash64(packet.flow) % len(table)]
+        """Choose what to do with a packet.
+
+        Parameters
+        ----------
+        packet : ParsedPacket
+            The packet; where the decision is `Held`, the router keeps it.
+        now : Instant
+            Current time.
+        hops : int, default 0
+            How many balancers have passed the packet on before.
+
+        Returns
+        -------
+        Decision
+            Where the packet goes. Held packets come back in a `ReleaseHeld` effect.
+        """
+        state = self.state
+        if now >= state.lease_end:
+            return self._count(DROPPED[DropReason.NO_LEASE])
+        service = state.by_address.get(packet.address)
+        if service is None:
+            return self._count(DROPPED[DropReason.UNKNOWN_ADDRESS])
+        flow = hash64(packet.flow)
+        decision = self.paths.decide(service, flow, packet.opens, now, hops)
+        if decision is HELD:
+            state.counters["held-packets"] += 1
+            decision = self.asks.hold(packet, flow, service, now, hops)
+        if type(decision) is Dropped:
+            return self._count(decision)
+        return decision
 
     def count_refused(self, packet: BadPacket) -> None:
         """Count a packet that could not be parsed."""
-        self.counters[f"refused-{packet.fault.value}"] += 1
+        self.state.counters[f"refused-{packet.fault.value}"] += 1
 
     def handle(self, event: Event, now: Instant) -> list[Effect]:
-        """Take one event and return its effects."""
+        """Take one event and return its effects.
+
+        Parameters
+        ----------
+        event : Event
+            `Received`, `Tick`, `ViewChanged`, `LeaseChanged`, `UpstreamsChanged`,
+            `ConfigurationApplied` or `ReachableChanged`.
+        now : Instant
+            Current time.
+
+        Returns
+        -------
+        list of Effect
+            `Send`, `Emit` and `ReleaseHeld`, in the order to carry them out.
+        """
+        todo = deque(self._dispatch(event, now))
+        todo.extend(self._flush(now))
+        effects: list[Effect] = []
+        while todo:
+            effect = todo.popleft()
+            if isinstance(effect, Send) and effect.to == self.state.instance:
+                todo.extend(self._receive(effect.to, effect.message, now))
+                continue
+            if isinstance(effect, ReleaseHeld) and isinstance(effect.decision, Dropped):
+                for _ in effect.packets:
+                    self._count(effect.decision)
+            effects.append(effect)
+        return effects
+
+    def next_deadline(self) -> Instant | None:
+        """Return when the router next wants a tick, or None."""
+        deadlines: tuple[float | None, ...] = (
+            self.asks.flush_at,
+            self.owner.flush_at,
+            self.sync.retry_at,
+            self.coordinator.retry_at,
+            self.coordinator.plan_at if self.state.synced else None,
+            self.report_at,
+            self.state.cache.rotate_at,
+        )
+        known = [deadline for deadline in deadlines if deadline is not None]
+        return Instant(min(known)) if known else None
+
+    def dump(self) -> dict[str, Any]:
+        """Return the decision state as values that JSON can hold."""
+        state = self.state
+        domain = state.domain
+        return {
+            "domain": None if domain is None else domain.number,
+            "members": [] if domain is None else sorted(domain.members),
+            "synced": state.synced,
+            "lease_end": state.lease_end if math.isfinite(state.lease_end) else None,
+            "services": {name: _dump_service(state, s) for name, s in state.services.items()},
+            "cached_flows": len(state.cache),
+            "registered_flows": state.register.size,
+            "held_packets": self.asks.packets,
+            "counters": dict(state.counters),
+        }
+
+    def _dispatch(self, event: Event, now: Instant) -> list[Effect]:
         match event:
+            case Received(sender, message):
+                return self._receive(sender, message, now)
             case LeaseChanged(end):
-                self.lease_end = end
+                return self._change_lease(end, now)
             case ViewChanged(view):
-                self.views[view.data_centre] = event
+                return self._change_view(view, now)
+            case ReachableChanged(data_centres):
+                self.state.reachable = data_centres
+                return self._adopt_domain(now)
             case UpstreamsChanged(changed, removed):
-                self.upstreams.update({upstream.upstream: upstream for upstream in changed})
-                for name in removed:
-                    self.upstreams.pop(name, None)
+                self.state.targets.update(changed, removed, now)
+                self._upstreams_changed(now)
             case ConfigurationApplied(_, document):
-                self.document = document
-        self._rebuild()
+                return self._configure(document, now)
         return []
 
-    def next_deadline(self) -> Instant | None:
-        """Return when the router next wants a tick."""
-        return None
+    def _receive(self, sender: InstanceId, message: Message, now: Instant) -> list[Effect]:
+        match message:
+            case FlowAsk():
+                return self.owner.ask(sender, message, now)
+            case FlowAnswer():
+                return self.asks.answer(message, now)
+            case StoreFlows():
+                return self.owner.store(sender, message)
+            case FlowsStored():
+                return self.owner.stored(sender, message)
+            case TableUpdate():
+                effects = self.sync.updated(message, now)
+                self.asks.reconsider(now)
+                return effects
+            case TableConfirm():
+                return self.sync.confirmed(sender, message)
+            case TableRequest():
+                return self.coordinator.request(sender, message)
+            case StatePull():
+                return self.sync.pulled(sender, message)
+            case StateAnswer():
+                effects = self.sync.answered(sender, message, now)
+                if effects:
+                    self.coordinator.retry_at = now
+                return effects
+            case SlotActivity():
+                self.coordinator.activity(sender, message, now)
+        return []
 
-    def dump(self) -> dict[str, Any]:
-        """Return the state as JSON values."""
-        return {"upstreams": sorted(self.upstreams), "counters": dict(self.counters)}
-
-    def _rebuild(self) -> None:
-        self.tables = {}
-        for spec in self.document.services.values():
-            names = [u for u in self.upstreams.values() if u.service == spec.selector.service]
-            weights = {
-                u.upstream: float(u.connections) for u in names if u.state is UpstreamState.READY
-            }
-            empty = [None] * spec.flow_slots
-            moves = plan_moves(empty, empty, weights)
-            none: Decision = DROPPED[DropReason.NO_UPSTREAM]
-            table = [none] * spec.flow_slots
-            for slot, name in moves.items():
-                table[slot] = self._decide(self.upstreams[name], slot)
-            self.tables.update(dict.fromkeys(spec.addresses, table))
-
-    def _decide(self, upstream: Upstream, slot: int) -> Decision:
-        if upstream.data_centre == self.data_centre:
-            return ForwardTo(upstream)
-        view = self.views.get(upstream.data_centre)
-        if view is None or not view.view.members:
-            return DROPPED[DropReason.UNREACHABLE]
-        return PassTo(view.view.members[slot % len(view.view.members)])
+    def _flush(self, now: Instant) -> list[Effect]:
+        self.state.cache.expire(now)
+        effects = self.asks.flush(now)
+        effects.extend(self.owner.flush(now))
+        effects.extend(self.sync.flush(now))
+        effects.extend(self.coordinator.flush(now))
+        effects.extend(self._report(now))
+        return effects
+
+    def _change_lease(self, end: Instant | None, now: Instant) -> list[Effect]:
+        state = self.state
+        lapsed = now >= state.lease_end
+        state.lease_end = -math.inf if end is None else end
+        if end is None:
+            return self.asks.drop_all(DropReason.NO_LEASE)
+        if not lapsed:
+            return []
+        state.cache.clear()
+        event = LEASE_LAPSED.emit(services=len(state.services))
+        return [event, *self._start_over(now)] if state.domain is not None else []
+
+    def _start_over(self, now: Instant) -> list[Effect]:
+        """Fetch the tables again: moves may have been confirmed without this instance."""
+        for service in self.state.services.values():
+            service.usable = False
+        self.sync.synced_domain = None
+        self.owner.adopt_domain(now)
+        self.coordinator.adopt_domain(now)
+        return self.sync.start(now)
+
+    def _change_view(self, view: View, now: Instant) -> list[Effect]:
+        known = self.state.views.get(view.data_centre)
+        if known is not None and known.epoch >= view.epoch:
+            return []
+        self.state.views[view.data_centre] = view
+        return self._adopt_domain(now)
+
+    def _adopt_domain(self, now: Instant) -> list[Effect]:
+        state = self.state
+        before, domain = state.domain, self._build_domain()
+        if before is not None and domain is not None and before.number == domain.number:
+            return []
+        state.domain = domain
+        self._list_passes()
+        state.count_ready()
+        if domain is None:
+            state.synced = False
+            state.register = FlowRegister()
+            for service in state.services.values():
+                service.usable = False
+            return []
+        event = DOMAIN_ADOPTED.emit(
+            domain=domain.number,
+            members=len(domain.members),
+            data_centres=len(domain.data_centres),
+        )
+        self.asks.reconsider(now)
+        if before is None or not domain.data_centres <= before.data_centres:
+            return [event, *self._start_over(now)]
+        self.owner.adopt_domain(now)
+        self.coordinator.adopt_domain(now)
+        return [event, *self.sync.start(now)]
+
+    def _build_domain(self) -> Domain | None:
+        state = self.state
+        views = [
+            view
+            for name, view in state.views.items()
+            if state.reachable is None or name in state.reachable
+        ]
+        domain = Domain(views)
+        return domain if state.instance in domain.members else None
+
+    def _list_passes(self) -> None:
+        self.state.passes.clear()
+        if self.state.domain is None:
+            return
+        for member in self.state.domain.members.values():
+            if member.instance != self.state.instance:
+                self.state.passes.setdefault(member.data_centre, []).append(PassTo(member))
+
+    def _upstreams_changed(self, now: Instant) -> None:
+        self.state.count_ready()
+        self.coordinator.plan_later(now)
+        self.asks.reconsider(now)
+
+    def _configure(self, document: ConfigurationDocument, now: Instant) -> list[Effect]:
+        state = self.state
+        added = False
+        for name in list(state.services):
+            if name not in document.services:
+                del state.services[name]
+        for name, spec in document.services.items():
+            known = state.services.get(name)
+            if known is None:
+                state.services[name] = ServiceState(name, spec)
+                added = True
+            else:
+                known.spec = spec
+        state.by_address = {
+            address: state.services[name]
+            for name, spec in document.services.items()
+            for address in spec.addresses
+        }
+        self._upstreams_changed(now)
+        return self.sync.start(now) if added and state.domain is not None else []
+
+    def _report(self, now: Instant) -> list[Effect]:
+        """Tell the coordinators which moving slots still have older flows."""
+        if self.report_at is None:
+            self.report_at = Instant(now + self.settings.activity_report_seconds)
+        if now < self.report_at or self.state.domain is None:
+            return []
+        self.report_at = Instant(now + self.settings.activity_report_seconds)
+        effects: list[Effect] = []
+        for service in self.state.services.values():
+            table = service.table
+            service.note_activity(now, self.settings.settle_idle_seconds)
+            if table is None or not table.moving:
+                continue
+            coordinator = self.state.domain.coordinator(service.service)
+            ages = pack_ages((slot, now - at) for slot, at in service.last_other.items())
+            message = SlotActivity(self.state.domain.number, service.service, ages)
+            effects.append(Send(coordinator, message))
+        return effects
+
+    def _count(self, decision: Decision) -> Decision:
+        assert isinstance(decision, Dropped)
+        self.state.counters[f"dropped-{decision.reason.value}"] += 1
+        return decision
+
+
+def _dump_service(state: RouterState, service: ServiceState) -> dict[str, Any]:
+    table = service.table
+    if table is None:
+        return {"usable": False, "ready_upstreams": service.ready}
+    held: dict[str, int] = {}
+    for entry in table.entries:
+        held[str(entry.current)] = held.get(str(entry.current), 0) + 1
+    return {
+        "usable": service.usable,
+        "version": table.version,
+        "confirmed_by_all": state.confirmed_floor(service),
+        "slots": dict(sorted(held.items())),
+        "moving_slots": sorted(table.moving),
+        "ready_upstreams": service.ready,
+    }
--- /dev/null
+++ b/chicorypost/flows/_state.py
@@ -0,0 +1,187 @@
+"""What the parts of a flow router share."""
+
+import math
+import random
+from collections import Counter, deque
+from typing import NamedTuple
+
+from chicorypost.base import (
+    Address,
+    DataCentreId,
+    InstanceId,
+    Instant,
+    ServiceId,
+    UpstreamId,
+    View,
+)
+from chicorypost.configuration import ServiceSpec
+from chicorypost.flows._cache import FlowCache
+from chicorypost.flows._domain import Domain, bucket_of
+from chicorypost.flows._interface import PassTo
+from chicorypost.flows._messages import NO_TABLE
+from chicorypost.flows._register import FlowRegister
+from chicorypost.flows._settings import FlowSettings
+from chicorypost.flows._table import ServiceTable, SlotEntry, SlotPhase
+from chicorypost.flows._targets import Target, Targets
+
+MAX_RECENT_OPENS = 65_536
+
+
+class RecentOpen(NamedTuple):
+    """An open that was placed by the table alone."""
+
+    at: Instant
+    service: ServiceId
+    flow: int
+    upstream: UpstreamId
+
+
+class ServiceState:
+    """One configured service with its slot table."""
+
+    def __init__(self, service: ServiceId, spec: ServiceSpec) -> None:
+        self.service = service
+        self.spec = spec
+        self.table: ServiceTable | None = None
+        self.usable = False
+        """Whether the table is as new as membership in the domain requires."""
+        self.confirmed: dict[InstanceId, int] = {}
+        self.ready = 0
+        self.early: dict[int, UpstreamId] = {}
+        """Placements heard of before the first table, whose size gives their slots."""
+        self.other_seen: set[int] = set()
+        """Moving slots that had packets for another upstream than the current one lately."""
+        self.last_other: dict[int, Instant] = {}
+        """When that was last noted, by slot."""
+
+    def version(self) -> int:
+        """Return the version that this instance may confirm."""
+        return self.table.version if self.table is not None and self.usable else NO_TABLE
+
+    def note_activity(self, now: Instant, horizon_seconds: float) -> None:
+        """Date the slots seen since the last call, and forget those not seen for long."""
+        moving = self.table.moving if self.table is not None else set()
+        self.last_other.update(dict.fromkeys(self.other_seen & moving, now))
+        self.other_seen.clear()
+        self.last_other = {
+            slot: at
+            for slot, at in self.last_other.items()
+            if slot in moving and now - at < horizon_seconds
+        }
+
+    def entry(self, slot: int) -> SlotEntry | None:
+        """Return the state of a slot, or None without a usable table."""
+        return self.table.entries[slot] if self.table is not None and self.usable else None
+
+
+class RouterState:
+    """State that the parts of one flow router read and change."""
+
+    def __init__(
+        self,
+        settings: FlowSettings,
+        instance: InstanceId,
+        data_centre: DataCentreId,
+        random: random.Random,
+        now: Instant,
+    ) -> None:
+        self.settings = settings
+        self.instance = instance
+        self.data_centre = data_centre
+        self.random = random
+        self.lease_end: float = -math.inf
+        self.services: dict[ServiceId, ServiceState] = {}
+        self.by_address: dict[Address, ServiceState] = {}
+        self.targets = Targets()
+        self.cache = FlowCache(settings.cached_flows, settings.cache_idle_seconds, now)
+        self.views: dict[DataCentreId, View] = {}
+        self.reachable: frozenset[DataCentreId] | None = None
+        self.domain: Domain | None = None
+        self.synced = False
+        self.passes: dict[DataCentreId, list[PassTo]] = {}
+        self.register = FlowRegister()
+        self.recent: deque[RecentOpen] = deque(maxlen=MAX_RECENT_OPENS)
+        self.counters: Counter[str] = Counter()
+
+    def in_domain(self, number: int) -> bool:
+        """Return whether a message's domain is this instance's."""
+        return self.domain is not None and self.domain.number == number
+
+    def others(self) -> list[InstanceId]:
+        """Return the other members of the domain."""
+        if self.domain is None:
+            return []
+        return [name for name in self.domain.members if name != self.instance]
+
+    def owners(self, service: ServiceId, slot: int) -> tuple[InstanceId, ...]:
+        """Return the owner and the backup of a slot."""
+        return () if self.domain is None else self.domain.owners(service, bucket_of(slot))
+
+    def owns(self, service: ServiceId, slot: int) -> bool:
+        """Return whether this instance is the owner of a slot."""
+        return self.owners(service, slot)[:1] == (self.instance,)
+
+    def coordinates(self, service: ServiceId) -> bool:
+        """Return whether this instance issues the table of a service and knows the latest."""
+        return (
+            self.synced
+            and self.domain is not None
+            and self.domain.coordinator(service) == self.instance
+        )
+
+    def confirmed_floor(self, service: ServiceState) -> int:
+        """Return the table version that every member of the domain has confirmed."""
+        floor = service.version()
+        for name in self.others():
+            floor = min(floor, service.confirmed.get(name, NO_TABLE))
+        return floor
+
+    def reaches(self, target: Target) -> bool:
+        """Return whether the data centre of an upstream has balancers in the domain."""
+        return self.domain is not None and target.upstream.data_centre in self.domain.data_centres
+
+    def takes_opens(self, name: UpstreamId | None, service: ServiceState, now: Instant) -> bool:
+        """Return whether an upstream may get new flows of a service."""
+        target = None if name is None else self.targets.by_name.get(name)
+        return (
+            target is not None
+            and now < target.opens_until
+            and target.serves(service.spec.selector)
+            and self.reaches(target)
+        )
+
+    def count_ready(self) -> None:
+        """Count for each service the upstreams that take new flows for good."""
+        for service in self.services.values():
+            service.ready = sum(
+                target.opens_until == math.inf and self.reaches(target)
+                for target in self.targets.selected(service.spec.selector)
+            )
+
+    def expire_recent(self, now: Instant) -> None:
+        """Forget opens that their callers no longer repeat."""
+        oldest = now - self.settings.open_retransmission_seconds
+        while self.recent and self.recent[0].at < oldest:
+            self.recent.popleft()
+
+    def recent_in(self, service: ServiceState, slots: set[int]) -> list[RecentOpen]:
+        """Return the recent opens in some slots of a service."""
+        table = service.table
+        if table is None or not slots:
+            return []
+        count = len(table.entries)
+        return [
+            opened
+            for opened in self.recent
+            if opened.service == service.service and opened.flow % count in slots
+        ]
+
+    def store(self, service: ServiceState, flow: int, upstream: UpstreamId) -> None:
+        """Put a placement into the register unless its slot is known to be stable."""
+        if service.table is None:
+            service.early[flow] = upstream
+            return
+        slot = flow % len(service.table.entries)
+        entry = service.entry(slot)
+        if entry is None or entry.phase is not SlotPhase.STABLE:
+            self.register.put(service.service, slot, flow, upstream)
--- /dev/null
+++ b/chicorypost/flows/tests/fakes.py
@@ -0,0 +1,212 @@
+"""Flow routers joined by an in-memory network whose delivery order the test chooses."""
+
+import copy
+import random
+
+import dpkt
+
+from chicorypost.base import (
+    Address,
+    DataCentreId,
+    Endpoint,
+    Epoch,
+    Incarnation,
+    InstanceId,
+    Instant,
+    LeaseChanged,
+    Member,
+    Received,
+    Send,
+    ServiceId,
+    Tick,
+    Upstream,
+    UpstreamId,
+    UpstreamsChanged,
+    UpstreamState,
+    Version,
+    View,
+    ViewChanged,
+    decode,
+    encode,
+)
+from chicorypost.configuration import (
+    ConfigurationApplied,
+    ConfigurationDocument,
+    ServiceSpec,
+    UpstreamSelector,
+)
+from chicorypost.flows import (
+    Dropped,
+    FlowRouter,
+    FlowSettings,
+    ForwardTo,
+    Held,
+    PassTo,
+    ReleaseHeld,
+    parse_packet,
+)
+
+HOME = DataCentreId("gent")
+ORDERS = ServiceId("orders")
+LEASE = Instant(1e9)
+
+
+def packet(port, opens=False, vip=1):
+    flags = dpkt.tcp.TH_SYN if opens else dpkt.tcp.TH_ACK
+    inner = dpkt.tcp.TCP(sport=port, dport=443, flags=flags)
+    outer = dpkt.ip.IP(src=b"\x0a\0\0\x09", dst=bytes([10, 1, 0, vip]), p=6, data=inner)
+    outer.len = len(outer)
+    return parse_packet(bytes(outer))
+
+
+def member(name, data_centre=HOME, incarnation=1):
+    endpoint = Endpoint(str(name), 1)
+    return Member(InstanceId(name), Incarnation(incarnation), data_centre, endpoint, endpoint)
+
+
+def upstream(name, service=ORDERS, state=UpstreamState.READY, data_centre=HOME, **changes):
+    endpoint = Endpoint(changes.get("host", name), 80)
+    return Upstream(
+        UpstreamId(name),
+        Incarnation(changes.get("incarnation", 1)),
+        service,
+        data_centre,
+        endpoint,
+        endpoint,
+        3,
+        changes.get("connections", 100),
+        state,
+    )
+
+
+def document(services=(ORDERS,), slots=2, selects=None):
+    return ConfigurationDocument(
+        services={
+            service: ServiceSpec(
+                addresses=(Address(f"10.1.0.{number}:443/tcp"),),
+                selector=UpstreamSelector(service=(selects or {}).get(service, service)),
+                flow_slots=slots,
+            )
+            for number, service in enumerate(services, start=1)
+        }
+    )
+
+
+class Cluster:
+    """Routers, the messages between them, and what became of every packet."""
+
+    def __init__(self, names, upstreams, slots=2, data_centres=None, **settings):
+        self.now = Instant(0.0)
+        self.settings = FlowSettings(plan_delay_seconds=0, slow_start_seconds=0, **settings)
+        self.document = document(slots=slots)
+        self.upstreams = {u.upstream: u for u in upstreams}
+        self.places = data_centres or {}
+        self.epochs = {}
+        self.views = {}
+        self.routers = {}
+        self.flying = []
+        self.log = []
+        self.sent_bytes = 0
+        for name in names:
+            self.start(name)
+        self.set_views(names)
+        self.settle()
+
+    def place(self, name):
+        return self.places.get(name, HOME)
+
+    def start(self, name):
+        router = FlowRouter(
+            self.settings, InstanceId(name), self.place(name), random.Random(1), self.now
+        )
+        self.routers[name] = router
+        self.tell(name, ConfigurationApplied(Version(1), self.document))
+        self.tell(name, UpstreamsChanged(tuple(self.upstreams.values()), ()))
+        self.tell(name, LeaseChanged(LEASE))
+
+    def set_views(self, names, to=None, incarnations=None):
+        """Issue new views and hand them to some routers at once."""
+        for place in sorted({self.place(name) for name in [*names, *self.routers]}):
+            listed = [name for name in names if self.place(name) == place]
+            members = tuple(
+                member(name, place, (incarnations or {}).get(name, 1)) for name in listed
+            )
+            epoch = self.epochs[place] = self.epochs.get(place, 0) + 1
+            self.views[place] = View(place, Epoch(epoch), members)
+        for name in names if to is None else to:
+            self.show_views(name)
+
+    def show_views(self, name):
+        for view in self.views.values():
+            self.tell(name, ViewChanged(view))
+
+    def tell(self, name, event):
+        self.carry_out(name, self.routers[name].handle(event, self.now))
+
+    def change(self, *changed, removed=(), to=None):
+        """Change the directory of some routers at once."""
+        self.upstreams.update({u.upstream: u for u in changed})
+        for gone in removed:
+            self.upstreams.pop(UpstreamId(gone), None)
+        for name in self.routers if to is None else to:
+            self.tell(name, UpstreamsChanged(changed, tuple(map(UpstreamId, removed))))
+
+    def carry_out(self, name, effects):
+        for effect in effects:
+            match effect:
+                case Send(to, message):
+                    encoded = encode(message)
+                    self.sent_bytes += len(encoded)
+                    self.flying.append((name, to, decode(encoded)))
+                case ReleaseHeld(_, decision, packets):
+                    for data in packets:
+                        self.arrive(name, parse_packet(data), decision)
+
+    def send(self, name, port, opens=False, hops=0, vip=1):
+        """Hand a packet to a router as the fabric does."""
+        given = packet(port, opens, vip)
+        self.arrive(name, given, self.routers[name].route(given, self.now, hops), hops)
+
+    def arrive(self, name, given, decision, hops=0):
+        port = int.from_bytes(given.data[20:22], "big")
+        match decision:
+            case ForwardTo(to):
+                self.log.append((name, port, given.opens, to.upstream))
+            case PassTo(to):
+                if to.instance in self.routers:
+                    router = self.routers[to.instance]
+                    again = router.route(given, self.now, hops + 1)
+                    self.arrive(to.instance, given, again, hops + 1)
+            case Dropped(reason):
+                self.log.append((name, port, given.opens, reason))
+            case Held():
+                pass
+
+    def deliver(self, index=0):
+        sender, to, message = self.flying.pop(index)
+        if to in self.routers:
+            self.tell(to, Received(InstanceId(sender), message))
+
+    def advance(self, seconds):
+        self.now = Instant(self.now + seconds)
+        for name in list(self.routers):
+            self.tell(name, Tick())
+
+    def settle(self, rounds=12, seconds=0.25):
+        """Let time pass and deliver everything until the routers have agreed."""
+        for _ in range(rounds):
+            self.advance(seconds)
+            while self.flying:
+                self.deliver()
+
+    def targets(self, port):
+        """Return the upstreams that got packets of a flow."""
+        return {to for _, flow, _, to in self.log if flow == port and isinstance(to, str)}
+
+    def kill(self, *names):
+        for name in names:
+            del self.routers[name]
+        self.set_views(list(self.routers))
+
+    def copy(self):
+        return copy.deepcopy(self)
