--- /dev/null
+++ b/chicorypost/configuration/tests/test_configuration_machine.py
@@ -0,0 +1,174 @@
+"""Random histories of operators, control instances and balancers under faults."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from chicorypost.base import LeaseChanged, ViewChanged
+from chicorypost.configuration import ConfigurationState, PatchAccepted
+from chicorypost.configuration.tests._cluster import LEASE_SECONDS, Cluster
+from chicorypost.configuration.tests.test_state import NOW_MS, submit
+
+ADDRESSES = ("10.0.0.1:80/tcp", "10.0.0.2:80/tcp")
+SERVICES = ("archive", "ordering", "design")
+SITES = {"gent": 3, "aalst": 2}
+BALANCERS = [f"{site}-{number}" for site, count in SITES.items() for number in range(count)]
+
+
+class ConfigurationMachine(RuleBasedStateMachine):
+    """Operators race and resend while instances freeze, restart, and are cut off."""
+
+    @initialize(seed=st.integers(0, 2**32))
+    def start(self, seed):
+        self.cluster = Cluster(seed=seed, sites=SITES)
+        self.cluster.run(1)
+        self.number = 0
+        self.seen = [0, 0]
+        self.answers = {}
+        self.commands = []
+
+    @rule(
+        operator=st.integers(0, 1),
+        owners=st.tuples(st.sampled_from(SERVICES), st.sampled_from((None, *SERVICES))),
+        lost=st.booleans(),
+    )
+    def patch(self, operator, owners, lost):
+        self.number += 1
+        body = {
+            "services": {
+                name: {
+                    "addresses": [a for a, o in zip(ADDRESSES, owners, strict=True) if o == name],
+                    "selector": {"service": name},
+                }
+                for name in SERVICES
+            }
+        }
+        command = submit(self.seen[operator], body, NOW_MS + self.number, self.number)
+        self.commands.append(command)
+        self._send(command)
+        if not lost:
+            self.seen[operator] = self._leader().state.version
+
+    @precondition(lambda self: self.commands)
+    @rule(choice=st.integers(0, 100))
+    def resend(self, choice):
+        self._send(self.commands[choice % len(self.commands)])
+
+    def _send(self, command):
+        before = self._leader().state.version
+        outcome = self.cluster.submit_command(command)
+        if outcome is None:
+            return
+        first = self.answers.setdefault(command.patch_id, outcome)
+        assert isinstance(outcome, PatchAccepted) == isinstance(first, PatchAccepted)
+        if isinstance(outcome, PatchAccepted):
+            assert outcome == first
+            assert outcome.version <= before + 1
+
+    @rule(count=st.integers(1, 40), keep=st.booleans())
+    def deliver(self, count, keep):
+        for _ in range(count):
+            self.cluster.deliver_one(keep)
+            self.cluster.check_routes()
+
+    @rule(steps=st.integers(1, 12), count=st.integers(0, 12))
+    def run_on(self, steps, count):
+        """Let time pass with leases renewed while some of the messages arrive."""
+        for _ in range(steps):
+            for site in SITES:
+                self.cluster.renew(site)
+            self.deliver(count, keep=False)
+            self.cluster.advance(0.1)
+
+    @rule(seconds=st.sampled_from((0.6, 3.5)))
+    def advance(self, seconds):
+        self.cluster.advance(seconds)
+
+    @rule(name=st.sampled_from(BALANCERS))
+    def freeze(self, name):
+        self.cluster.balancers[name].frozen = True
+
+    @rule(name=st.sampled_from(BALANCERS))
+    def thaw(self, name):
+        self.cluster.balancers[name].frozen = False
+        self.cluster.give(name, LeaseChanged(None) if self._expired(name) else _view(self, name))
+
+    @rule(name=st.sampled_from(BALANCERS))
+    def restart(self, name):
+        self.cluster.restart(name)
+
+    @rule(site=st.sampled_from(list(SITES)))
+    def change_view(self, site):
+        """Agree on a new view: those that left have no lease any more."""
+        live = [b for b in self._balancers(site) if not b.frozen]
+        frozen = [b for b in self._balancers(site) if b.frozen]
+        if live and all(self._expired(b.member.instance) for b in frozen):
+            self.cluster.set_view(site, [b.member for b in live])
+
+    @rule(place=st.sampled_from([*SITES, "control-1", "control-2"]))
+    def cut(self, place):
+        self.cluster.cut ^= {place}
+
+    @rule(name=st.sampled_from(["control-0", "control-1", "control-2"]))
+    def elect(self, name):
+        if name not in self.cluster.cut:
+            self.cluster.elect(name)
+
+    @rule(name=st.sampled_from(["control-0", "control-1", "control-2"]), count=st.integers(1, 5))
+    def catch_up(self, name, count):
+        if name not in self.cluster.cut:
+            self.cluster.controls[name].catch_up(count)
+
+    @rule(name=st.sampled_from(["control-0", "control-1", "control-2"]))
+    def restore_from_snapshot(self, name):
+        control = self.cluster.controls[name]
+        data, control.state = control.state.snapshot(), ConfigurationState()
+        control.state.restore(data)
+
+    @invariant()
+    def routes_agree(self):
+        if hasattr(self, "cluster"):
+            self.cluster.check_routes()
+
+    def teardown(self):
+        if not hasattr(self, "cluster"):
+            return
+        self.cluster.cut = set()
+        for balancer in self.cluster.balancers.values():
+            balancer.frozen = False
+        self.cluster.advance(LEASE_SECONDS + 0.1)
+        for site in SITES:
+            self.cluster.set_view(site, [b.member for b in self._balancers(site)])
+        self.cluster.run(10, step=0.25)
+        self._check_agreement()
+
+    def _check_agreement(self):
+        state = self._leader().state
+        assert state.withheld == ()
+        assert {b.version for b in self.cluster.balancers.values()} == {state.version}
+        assert all(b.serves() for b in self.cluster.balancers.values())
+        accepted = sorted(k for k, v in self.answers.items() if isinstance(v, PatchAccepted))
+        in_history = [entry.patch_id for entry in state.history if entry.patch_id]
+        assert sorted(in_history) == accepted
+        assert [entry.version for entry in state.history] == list(range(1, state.version + 1))
+        states = {control.catch_up().snapshot() for control in self.cluster.controls.values()}
+        assert len(states) == 1
+
+    def _leader(self):
+        return self.cluster.controls[self.cluster.leader]
+
+    def _balancers(self, site):
+        return [b for b in self.cluster.balancers.values() if b.member.data_centre == site]
+
+    def _expired(self, name):
+        end = self.cluster.balancers[name].follower.gate.lease_end
+        return end is None or end <= self.cluster.now
+
+
+def _view(machine, name):
+    site = machine.cluster.balancers[name].member.data_centre
+    return ViewChanged(machine.cluster.views[site])
+
+
+TestConfiguration = ConfigurationMachine.TestCase
+TestConfiguration.settings = settings(max_examples=60, stateful_step_count=60)
