--- a/benchmarks/machine_loop.py
+++ b/benchmarks/machine_loop.py
@@ -69,11 +69,13 @@
     def kill(self, instance: InstanceId) -> None:
         """Stop an instance at once."""
         self.machines.pop(instance, None)
+        self.frozen.pop(instance, None)
         self.generations[instance] += 1
 
     def freeze(self, instance: InstanceId) -> None:
         """Stop an instance for a while; what arrives waits."""
         self.frozen[instance] = []
+        self.ticks.pop(instance, None)
 
     def thaw(self, instance: InstanceId) -> None:
         """Let a frozen instance go on."""
@@ -124,6 +126,8 @@
         heapq.heappush(self.heap, (at, self.count, instance, generation, event))
 
     def _schedule(self, instance: InstanceId) -> None:
+        if instance in self.frozen:
+            return
         deadlines = [machine.next_deadline() for machine in self.machines.get(instance, ())]
         known = [deadline for deadline in deadlines if deadline is not None]
         if not known:
--- /dev/null
+++ b/chicorypost/membership/tests/fleet.py
@@ -0,0 +1,84 @@
+"""Instances of data centres on the plain loop, with a check that runs after each event."""
+
+import random
+
+from benchmarks.machine_loop import MachineLoop
+from chicorypost.base import DataCentreId, Endpoint, Incarnation, InstanceId, Member
+from chicorypost.membership import Membership, MembershipSettings
+
+
+def make_member(name, incarnation=1):
+    data_centre = DataCentreId(name.split("-")[0])
+    endpoint = Endpoint("127.0.0.1", 1)
+    return Member(InstanceId(name), Incarnation(incarnation), data_centre, endpoint, endpoint)
+
+
+class Fleet(MachineLoop):
+    """All instances of some data centres.
+
+    Raises
+    ------
+    AssertionError
+        When two instances of a data centre may act at the same time in different views, or an
+        instance may act in a view that does not name its own start.
+    """
+
+    def __init__(self, sizes, seed=0, settings=None):
+        super().__init__(self.choose_delays, self.note)
+        self.settings = settings or MembershipSettings()
+        self.random = random.Random(seed)
+        names = [f"{dc}-{number}" for dc, count in sizes.items() for number in range(count)]
+        self.peers = tuple(make_member(name) for name in names)
+        self.starts = dict.fromkeys(names, 0)
+        self.loss, self.delay, self.copies = 0.0, 0.002, 0.0
+        self.cut = lambda sender, to: False
+        self.effects = []
+        self.idle_since = {}
+        self.longest_idle = 0.0
+
+    def choose_delays(self, sender, to, message):
+        if self.cut(sender, to) or self.random.random() < self.loss:
+            return []
+        count = 2 if self.random.random() < self.copies else 1
+        return [self.delay * (0.1 + self.random.random()) for _ in range(count)]
+
+    def note(self, instance, effect, now):
+        self.effects.append((now, instance, effect))
+
+    def start(self, *names):
+        for name in names or self.starts:
+            self.starts[name] += 1
+            member = make_member(name, self.starts[name])
+            seed = random.Random(f"{name}/{self.starts[name]}")
+            machine = Membership(self.settings, member, self.peers, seed, self.now)
+            self.add(member.instance, machine)
+
+    def machine(self, name):
+        return self.machines[name][0]
+
+    def acting(self, data_centre="gent"):
+        return {
+            name: machines[0].view
+            for name, machines in self.machines.items()
+            if machines[0].data_centre == data_centre and machines[0].may_act(self.now)
+        }
+
+    def give(self, instance, event):
+        super().give(instance, event)
+        for data_centre in {name.split("-")[0] for name in self.machines}:
+            self.check(self.acting(data_centre))
+
+    def check(self, acting):
+        assert len(set(acting.values())) <= 1, (self.now, acting)
+        for name, view in acting.items():
+            assert self.machine(name).self_member in view.members
+
+    def all_act(self, *names):
+        acting = self.acting()
+        return set(acting) == set(names) and {
+            member.instance for view in acting.values() for member in view.members
+        } == set(names)
+
+
+def gent(*numbers):
+    return [f"gent-{number}" for number in numbers]
