Add dispatcher and chooser: slots never exceeded, truthful refusals, ejection by outcomes

Cause: upstreams have 2 or 3 slots; entry balancers that guess from stale loads overload them, also while the dispatcher changes, and a refusal must stay true. Ruled out: exchange deadlines cut at the lease's end (a request longer than a lease could never run); a record of each start at a backup (a message per request); the upstream's own load figure. Change: one dispatcher per upstream from the view; a new one counts what the former hands over and otherwise holds all slots for the longest exchange; queue by class and deadline with a turn for lower classes; early refusal from a moving mean and deviation; ids of ended attempts are remembered; graceful stop hands over before it leaves the view. Chooser: power of two choices, ejection in a row of failures with backoff, share bound and probation; health endpoints are not asked.

--- a/chicorypost/upstreams/__init__.py
+++ b/chicorypost/upstreams/__init__.py
@@ -3,11 +3,12 @@
 from chicorypost.upstreams._announcement import AnnouncementRefusal, RefusalReason
 from chicorypost.upstreams._chooser import NoUpstream, NoUpstreamReason, UpstreamChooser
 from chicorypost.upstreams._directory import Announced, UpstreamDirectory
-from chicorypost.upstreams._dispatcher import (
+from chicorypost.upstreams._dispatcher import Dispatcher
+from chicorypost.upstreams._exchanges import (
     CancelExchange,
-    Dispatcher,
     Drain,
     ExchangeEnded,
+    RefusalCause,
     StartExchange,
 )
 from chicorypost.upstreams._messages import (
@@ -39,6 +40,7 @@
     "HttpResponse",
     "NoUpstream",
     "NoUpstreamReason",
+    "RefusalCause",
     "RefusalReason",
     "StartExchange",
     "UpstreamChooser",
--- a/chicorypost/upstreams/_chooser.py
+++ b/chicorypost/upstreams/_chooser.py
@@ -1,5 +1,6 @@
 """Choice of an upstream for a request at the entry balancer."""
 
+from collections import defaultdict
 from collections.abc import Collection
 from dataclasses import dataclass
 from enum import Enum
@@ -13,7 +14,10 @@
     ServiceId,
     Upstream,
     UpstreamId,
+    UpstreamsChanged,
+    UpstreamState,
 )
+from chicorypost.upstreams._ejection import Ejections
 from chicorypost.upstreams._messages import DispatchAnswer
 from chicorypost.upstreams._settings import ChooserSettings
 
@@ -35,23 +39,66 @@
     detail: str
 
 
+@dataclass(frozen=True, slots=True)
+class Load:
+    """Load of an upstream as its dispatcher reported it."""
+
+    running: int
+    queued: int
+    until: Instant
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """Requests sent from here since the last report; forgotten when no report comes."""
+
+    count: int
+    until: Instant
+
+
 class UpstreamChooser:
     """Power of two choices over the load that dispatchers report, with outlier ejection.
 
-    Takes `UpstreamsChanged` by `handle`, and answers by `observe`; gives `Emit`.
+    Takes `UpstreamsChanged` by `handle`, and answers by `observe`; gives `Emit`. What health and
+    load endpoints of upstreams say is not used: only the outcomes of requests count.
+
+    Parameters
+    ----------
+    settings : ChooserSettings
+        Bounds of ejection and of the age of load reports.
+    random : Random
+        Source of the two choices.
     """
 
     def __init__(self, settings: ChooserSettings, random: Random) -> None:
         self.settings = settings
         self.random = random
+        self.upstreams: dict[UpstreamId, Upstream] = {}
+        self.services: dict[ServiceId, set[UpstreamId]] = defaultdict(set)
+        self.loads: dict[UpstreamId, Load] = {}
+        self.sent: dict[UpstreamId, Sent] = {}
+        self.warm_from: dict[UpstreamId, Instant] = {}
+        self.ejections = Ejections(settings)
 
     def handle(self, event: Event, now: Instant) -> list[Effect]:
         """Take one event and return the effects."""
-        raise NotImplementedError
+        if isinstance(event, UpstreamsChanged):
+            for name in event.removed:
+                self._remove(name)
+            for upstream in event.changed:
+                self._put(upstream, now)
+        return []
 
     def observe(self, answer: DispatchAnswer, now: Instant) -> list[Effect]:
         """Learn load and outcome from an answer of a dispatcher."""
-        raise NotImplementedError
+        upstream = self.upstreams.get(answer.upstream)
+        if upstream is None:
+            return []
+        until = Instant(now + self.settings.load_seconds)
+        self.loads[answer.upstream] = Load(answer.running, answer.queued, until)
+        self.sent.pop(answer.upstream, None)
+        peers = len(self.services[upstream.service])
+        return self.ejections.observe(answer, peers, upstream.service, now)
 
     def choose(
         self, service: ServiceId, excluded: Collection[UpstreamId], now: Instant
@@ -72,8 +119,83 @@
         Upstream or NoUpstream
             The choice, or the reason for which the request can be refused truthfully.
         """
-        raise NotImplementedError
+        known = [self.upstreams[name] for name in sorted(self.services.get(service, ()))]
+        ready = [u for u in known if u.state is UpstreamState.READY]
+        left = [u for u in ready if u.upstream not in excluded]
+        if not left:
+            return _no_upstream(service, known, ready)
+        in_use = [u for u in left if not self.ejections.is_ejected(u.upstream, now)]
+        chosen = self._better_of_two(in_use or left, now)
+        self._count_sent(chosen.upstream, now)
+        return chosen
 
     def dump(self) -> dict[str, Any]:
         """Return the whole decision state as values that JSON can hold."""
-        raise NotImplementedError
+        return {
+            "upstreams": {name: u.state.value for name, u in self.upstreams.items()},
+            "loads": {name: [load.running, load.queued] for name, load in self.loads.items()},
+            "ejections": self.ejections.dump(),
+        }
+
+    def _count_sent(self, name: UpstreamId, now: Instant) -> None:
+        entry = self.sent.get(name)
+        if entry is None or entry.until <= now:
+            entry = Sent(0, Instant(now + self.settings.load_seconds))
+        self.sent[name] = Sent(entry.count + 1, entry.until)
+
+    def _put(self, upstream: Upstream, now: Instant) -> None:
+        name = upstream.upstream
+        known = self.upstreams.get(name)
+        is_restart = known is None or known.incarnation != upstream.incarnation
+        if is_restart:
+            self._remove(name)
+        if is_restart or (known is not None and known.state is UpstreamState.STARTING):
+            self.warm_from[name] = now
+        self.upstreams[name] = upstream
+        self.services[upstream.service].add(name)
+
+    def _remove(self, name: UpstreamId) -> None:
+        upstream = self.upstreams.pop(name, None)
+        if upstream is None:
+            return
+        self.services[upstream.service].discard(name)
+        self.loads.pop(name, None)
+        self.sent.pop(name, None)
+        self.warm_from.pop(name, None)
+        self.ejections.forget(name)
+
+    def _better_of_two(self, candidates: list[Upstream], now: Instant) -> Upstream:
+        weights = [self._weight(upstream.upstream, now) for upstream in candidates]
+        first = self.random.choices(candidates, weights)[0]
+        second = self.random.choices(candidates, weights)[0]
+        return min(first, second, key=lambda upstream: self._load(upstream, now))
+
+    def _weight(self, name: UpstreamId, now: Instant) -> float:
+        """Return the chance of an upstream to be looked at: small when cold or on probation."""
+        age = now - self.warm_from.get(name, now)
+        seconds = self.settings.slow_start_seconds
+        warm = 1.0 if seconds == 0 else min(1.0, age / seconds)
+        floor = self.settings.min_weight
+        return max(floor, warm) * max(floor, self.ejections.trust(name))
+
+    def _load(self, upstream: Upstream, now: Instant) -> float:
+        """Return the requests per slot, counting what was sent since the last report."""
+        report = self.loads.get(upstream.upstream)
+        entry = self.sent.get(upstream.upstream)
+        sent = entry.count if entry is not None and now < entry.until else 0
+        if report is None or report.until <= now:
+            return sent / upstream.slots
+        return (report.running + report.queued + sent) / upstream.slots
+
+
+def _no_upstream(service: ServiceId, known: list[Upstream], ready: list[Upstream]) -> NoUpstream:
+    if not known:
+        return NoUpstream(NoUpstreamReason.NONE_KNOWN, f"no upstream announces {service}")
+    if ready:
+        detail = f"all {len(ready)} ready upstreams of {service} were tried"
+        return NoUpstream(NoUpstreamReason.ALL_EXCLUDED, detail)
+    if all(upstream.state is UpstreamState.DRAINING for upstream in known):
+        detail = f"all {len(known)} upstreams of {service} are draining"
+        return NoUpstream(NoUpstreamReason.ALL_DRAINING, detail)
+    detail = f"none of {len(known)} upstreams of {service} is ready yet"
+    return NoUpstream(NoUpstreamReason.ALL_STARTING, detail)
--- a/chicorypost/upstreams/_events.py
+++ b/chicorypost/upstreams/_events.py
@@ -50,3 +50,49 @@
     "data_centre",
     "records",
 )
+
+EXCHANGE_END_DROPPED = define_event(
+    510,
+    "exchange-end-dropped",
+    Level.WARNING,
+    "An exchange ended that was not running any more: late or reported twice.",
+    "attempt",
+)
+ATTEMPT_REPEATED = define_event(
+    511,
+    "attempt-repeated",
+    Level.WARNING,
+    "A copy of an attempt arrived and was not run again.",
+    "attempt",
+)
+EXCHANGE_OVERDUE = define_event(
+    512,
+    "exchange-overdue",
+    Level.WARNING,
+    "An exchange did not end by its deadline; its outcome is unknown.",
+    "attempt",
+    "upstream",
+)
+DISPATCH_HELD = define_event(
+    513,
+    "dispatch-held",
+    Level.INFO,
+    "This balancer became the dispatcher of an upstream and waits for what may still run there.",
+    "upstream",
+    "seconds",
+)
+UPSTREAM_EJECTED = define_event(
+    520,
+    "upstream-ejected",
+    Level.WARNING,
+    "Requests to an upstream failed in a row: it gets none for a while.",
+    "upstream",
+    "seconds",
+)
+UPSTREAM_READMITTED = define_event(
+    521,
+    "upstream-readmitted",
+    Level.INFO,
+    "An ejected upstream answered well enough to be in full use again.",
+    "upstream",
+)
--- /dev/null
+++ b/chicorypost/upstreams/_limits.py
@@ -0,0 +1,32 @@
+"""What the configuration says of an upstream."""
+
+from chicorypost.base import ServiceId, Upstream
+from chicorypost.configuration import ConfigurationDocument, Limits
+
+
+def limits_of(document: ConfigurationDocument, upstream: Upstream) -> list[Limits]:
+    """Return the limits of every configured service that selects the upstream."""
+    return [
+        spec.limits
+        for spec in document.services.values()
+        if spec.selector.service == upstream.service
+    ]
+
+
+def slots_of(document: ConfigurationDocument, upstream: Upstream) -> int:
+    """Return how many exchanges may run at an upstream."""
+    return min([upstream.slots, *(limits.slots for limits in limits_of(document, upstream))])
+
+
+def queue_length_of(document: ConfigurationDocument, upstream: Upstream, default: int) -> int:
+    """Return how many attempts may wait for an upstream."""
+    lengths = [limits.queue_length for limits in limits_of(document, upstream)]
+    return min(lengths, default=default)
+
+
+def serves(document: ConfigurationDocument, upstream: Upstream, service: ServiceId) -> bool:
+    """Return whether an upstream serves a service, by its announced or its configured name."""
+    if upstream.service == service:
+        return True
+    spec = document.services.get(service)
+    return spec is not None and spec.selector.service == upstream.service
--- a/chicorypost/upstreams/_messages.py
+++ b/chicorypost/upstreams/_messages.py
@@ -2,7 +2,7 @@
 
 from enum import Enum
 
-from chicorypost.base import AttemptId, Message, Record, ServiceId, UpstreamId
+from chicorypost.base import AttemptId, Epoch, Incarnation, Message, Record, ServiceId, UpstreamId
 from chicorypost.configuration import Priority
 
 
@@ -62,3 +62,26 @@
     running: int
     queued: int
     retry_after_ms: int
+
+
+class DispatchHandover(Message, frozen=True, array_like=True, tag=523):
+    """Tell the next dispatcher of an upstream what may still run there.
+
+    `is_former` says that the sender was the dispatcher until `epoch` and starts nothing more;
+    `hold_ms` for how long the sender itself could not rule out other exchanges.
+    """
+
+    upstream: UpstreamId
+    incarnation: Incarnation
+    epoch: Epoch
+    is_former: bool
+    sequence: int
+    running_ms: tuple[int, ...]
+    hold_ms: int
+
+
+class DispatchHandoverSeen(Message, frozen=True, array_like=True, tag=524):
+    """Acknowledge a handover."""
+
+    upstream: UpstreamId
+    sequence: int
--- a/chicorypost/upstreams/_settings.py
+++ b/chicorypost/upstreams/_settings.py
@@ -59,8 +59,14 @@
         Upper bound of an ejection.
     max_ejected_share : float, default=0.34
         Share of a service's upstreams that may be ejected at a time.
+    max_doublings : int, default=10
+        How often the length of an ejection doubles at most.
     probation_answers : int, default=3
         Answers in a row after which a readmitted upstream has its full weight again.
+    slow_start_seconds : float, default=20.0
+        How long a new upstream takes to reach its full weight here.
+    min_weight : float, default=0.1
+        Least weight of an upstream that is cold or on probation.
     """
 
     load_seconds: float = Field(default=2.0, gt=0, le=60)
@@ -68,7 +74,10 @@
     ejection_seconds: float = Field(default=5.0, gt=0, le=600)
     max_ejection_seconds: float = Field(default=120.0, gt=0, le=3600)
     max_ejected_share: float = Field(default=0.34, ge=0, le=1)
+    max_doublings: int = Field(default=10, ge=0, le=30)
     probation_answers: int = Field(default=3, ge=1, le=100)
+    slow_start_seconds: float = Field(default=20.0, ge=0, le=3600)
+    min_weight: float = Field(default=0.1, gt=0, le=1)
 
 
 class DispatcherSettings(Settings):
@@ -81,11 +90,18 @@
     ordinary_every : int, default=8
         At least one of this many starts goes to the ordinary class while it waits.
     queue_share : float, default=0.5
-        Share of a queue that one class may fill while others need room.
+        Share of a queue that one class may fill; half of the rest is kept for each other class.
+    default_queue_length : int, default=64
+        Length of a queue while no configuration bounds it.
     initial_service_seconds : float, default=0.05
         Expected duration of an exchange before any was seen.
-    lease_seconds : float, default=3.0
-        Longest lease of a former dispatcher; must equal that of membership.
+    max_exchange_seconds : float, default=10.0
+        Upper bound of an exchange; a new dispatcher that got no handover waits for so long. It
+        must be equal on all balancers of a data centre.
+    deadline_grace_seconds : float, default=0.1
+        How long after its deadline an exchange without an end still fills its slot.
+    remember_seconds : float, default=60.0
+        How long the id of an ended attempt is remembered, so that a copy can't run again.
     handover_retry_seconds : float, default=0.25
         Interval at which an unacknowledged handover is repeated.
     """
@@ -93,6 +109,9 @@
     urgent_every: int = Field(default=4, ge=2, le=100)
     ordinary_every: int = Field(default=8, ge=2, le=100)
     queue_share: float = Field(default=0.5, gt=0, le=1)
+    default_queue_length: int = Field(default=64, ge=1, le=10_000)
     initial_service_seconds: float = Field(default=0.05, gt=0, le=60)
-    lease_seconds: float = Field(default=3.0, gt=0, le=60)
+    max_exchange_seconds: float = Field(default=10.0, gt=0, le=3600)
+    deadline_grace_seconds: float = Field(default=0.1, ge=0, le=10)
+    remember_seconds: float = Field(default=60.0, gt=0, le=3600)
     handover_retry_seconds: float = Field(default=0.25, gt=0, le=10)
