Add the balancer process, its commands, TLS tests, the event page and the fault matrix

Cause: the state machines had no process to run in; peers of another authority were dropped without a count; the fabric's packets cost more per packet than they must. Change: BalancerDaemon and its parts, caller listener, commands, TLS handshake refusals counted, one struct for the packet headers, docs/EVENTS.md from the catalogue, docs/FAULTS.md with its check. Before: no balancer process; forwarding ratio not known.

--- /dev/null
+++ b/benchmarks/demo.py
@@ -0,0 +1,382 @@
+"""The whole path on loopback: start, serve, change, fail, and count what callers saw.
+
+Run as ``scripts/demo``. Exits with 1 when a promise was broken and names it.
+"""
+
+import argparse
+import json
+import random
+import signal
+import sys
+import tempfile
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import trio
+from rich.console import Console
+from rich.table import Table
+
+from benchmarks.standins.caller import CallerTruth, FlowCaller, RequestCaller
+from benchmarks.standins.cluster import Cluster, Instance
+from benchmarks.standins.deployments import DEPLOYMENTS, DeploymentShape, scale_down
+from chicorypost.base import Endpoint
+from chicorypost.transport import ExchangeRequest, exchange_once
+
+LIMIT_SECONDS = 44.0
+LEAVING_LIMIT_SECONDS = 3.0
+IN_FORCE_LIMIT_SECONDS = 5.0
+FLOWS_PER_SERVICE = 40
+FLOW_OPENING_SECONDS = 0.01
+UPLOAD_FILL_BYTES = 1000
+REQUEST_PAUSE_SECONDS = 0.05
+SETTLE_SECONDS = 3.0
+
+
+@dataclass
+class DemoReport:
+    """What a run showed."""
+
+    seconds_to_in_force: list[float] = field(default_factory=list)
+    steps: list[str] = field(default_factory=list)
+    operator_conflicts: int = 0
+    truth: CallerTruth = field(default_factory=CallerTruth)
+    upstreams: list[dict[str, Any]] = field(default_factory=list)
+    drained: str = ""
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the figures of the last line."""
+        runs = _runs(self.upstreams)
+        truth = self.truth
+        drained = [item for item in self.upstreams if item["upstream"] == self.drained]
+        return {
+            "flows_opened": truth.flows_opened,
+            "flows_refused": truth.flows_refused,
+            "flows_broken": truth.flows_broken,
+            "broken_because": dict(truth.broken_because),
+            "packets_sent": truth.packets_sent,
+            "packets_resent": truth.packets_resent,
+            "requests": dict(sorted(truth.outcomes.items())),
+            "runs_over_once": sum(count - 1 for count in runs.values() if count > 1),
+            "run_after_not_run": len(truth.not_run_keys & set(runs)),
+            "done_without_run": len(truth.done_keys - set(runs)),
+            "misdirected": sum(item["misdirected"] for item in self.upstreams),
+            "wrong_answers": truth.answers_wrong,
+            "requests_over_slots": sum(item["over_slots"] for item in self.upstreams),
+            "imbalance": _imbalance(self.upstreams),
+            "seconds_to_in_force": self.seconds_to_in_force,
+            "operator_conflicts": self.operator_conflicts,
+            "seconds_of_work_after_drain": max(
+                (item["last_work_after_drain"] for item in drained), default=0.0
+            ),
+        }
+
+    def broken_promises(self) -> list[str]:
+        """Return the promises that the run did not keep."""
+        figures = self.to_json()
+        zero = (
+            "flows_broken",
+            "runs_over_once",
+            "run_after_not_run",
+            "done_without_run",
+            "misdirected",
+            "wrong_answers",
+            "requests_over_slots",
+        )
+        broken = [f"{name} is {figures[name]}, allowed is 0" for name in zero if figures[name]]
+        if figures["flows_opened"] == 0:
+            broken.append("no flow was opened")
+        if not any("done" in name for name in figures["requests"]):
+            broken.append("no request was done")
+        if figures["seconds_of_work_after_drain"] > LEAVING_LIMIT_SECONDS:
+            broken.append(f"a drained upstream got work for longer than {LEAVING_LIMIT_SECONDS} s")
+        if max(self.seconds_to_in_force, default=99.0) > IN_FORCE_LIMIT_SECONDS:
+            broken.append(f"a change was not in force within {IN_FORCE_LIMIT_SECONDS} s")
+        return broken
+
+
+def _runs(upstreams: list[dict[str, Any]]) -> dict[str, int]:
+    runs: dict[str, int] = {}
+    for upstream in upstreams:
+        for key, count in upstream["runs"].items():
+            runs[key] = runs.get(key, 0) + count
+    return runs
+
+
+def _imbalance(upstreams: list[dict[str, Any]]) -> dict[str, float]:
+    by_service: dict[str, list[int]] = {}
+    for upstream in upstreams:
+        by_service.setdefault(upstream["service"], []).append(upstream["flows_opened"])
+    return {
+        service: round(max(counts) / (sum(counts) / len(counts)), 3) if sum(counts) else 0.0
+        for service, counts in by_service.items()
+    }
+
+
+@dataclass
+class Demo:
+    """One run.
+
+    Parameters
+    ----------
+    cluster : Cluster
+        The processes.
+    flows : int
+        Flows that are opened for each service.
+    """
+
+    cluster: Cluster
+    flows: int
+    report: DemoReport = field(default_factory=DemoReport)
+    stop_flows: trio.Event = field(default_factory=trio.Event)
+    stop_requests: trio.Event = field(default_factory=trio.Event)
+    upstream_controls: list[Endpoint] = field(default_factory=list)
+    console: Console = field(default_factory=lambda: Console(stderr=True))
+
+    def say(self, text: str) -> None:
+        """Tell what is done next."""
+        self.report.steps.append(text)
+        self.console.print(f"[{trio.current_time() - self.started:5.1f} s] {text}")
+
+    async def run(self) -> None:
+        """Go through all steps."""
+        self.started = trio.current_time()
+        cluster = self.cluster
+        cluster.plan()
+        self.say(f"start {cluster.controls} control instances, {cluster.shape.balancers} balancers")
+        for instance in (*cluster.control_instances, *cluster.balancer_instances):
+            cluster.start_instance(instance)
+        await self.start_upstreams()
+        self.say("create the services by a patch")
+        await self.patch(self.first_patch(), 0)
+        await cluster.wait_ready(cluster.balancer_instances)
+        fabric = await cluster.start_standin("fabric", "benchmarks.standins.fabric", self.fabric())
+        async with trio.open_nursery() as nursery:
+            await self.start_load(nursery, fabric)
+            await trio.sleep(SETTLE_SECONDS)
+            await self.race_operators()
+            await self.lose_balancer()
+            await self.drain_upstream()
+            await self.stop_balancer_gracefully()
+            self.say("close every flow and count")
+            self.stop_requests.set()
+            self.stop_flows.set()
+        await self.collect()
+
+    def fabric(self) -> dict[str, Any]:
+        """Return the settings of the stand-in fabric."""
+        return {
+            "balancers": [
+                {
+                    name: ["127.0.0.1", instance.ports[name]]
+                    for name in ("packets", "requests", "admin")
+                }
+                for instance in self.cluster.balancer_instances
+            ]
+        }
+
+    async def start_upstreams(self) -> None:
+        """Start the stand-in upstreams, a process for each service."""
+        shape = self.cluster.shape
+        announcements = [
+            ["127.0.0.1", instance.ports["announcements"]]
+            for instance in self.cluster.balancer_instances
+        ]
+        for service in shape.services:
+            upstreams = [
+                {
+                    "name": f"{service.service}-{number + 1}",
+                    "service": service.service,
+                    "data_centre": shape.data_centres[number % len(shape.data_centres)],
+                    "slots": service.slots,
+                    "connections": service.connections,
+                }
+                for number in range(service.upstreams)
+            ]
+            line = await self.cluster.start_standin(
+                service.service,
+                "benchmarks.standins.upstream",
+                {"upstreams": upstreams, "announcements": announcements},
+            )
+            self.upstream_controls.append(Endpoint(*line["control"]))
+
+    def first_patch(self) -> dict[str, Any]:
+        """Return the patch that creates the services."""
+        return {
+            "services": {
+                service.service: {
+                    "addresses": [service.address],
+                    "hosts": [service.host],
+                    "selector": {"service": service.service},
+                    "limits": {"slots": service.slots, "connections": service.connections},
+                    "priority": service.priority.value,
+                    "idempotent": [{"method": "GET"}, {"method": "PUT"}],
+                }
+                for service in self.cluster.shape.services
+            }
+        }
+
+    async def patch(self, patch: dict[str, Any], version: int) -> int:
+        """Submit a patch against a version and wait until it is in force; return the exit code."""
+        file = self.cluster.folder / f"patch-{len(self.report.steps)}-{random.random()}.json"
+        file.write_text(json.dumps(patch))
+        started = trio.current_time()
+        code, output, errors = await self.cluster.run_command(
+            "config",
+            "patch",
+            str(file),
+            "--version",
+            str(version),
+            "--wait",
+            "--json",
+            "--servers",
+            self.cluster.operator_servers(),
+        )
+        if code == 0:
+            self.report.seconds_to_in_force.append(round(trio.current_time() - started, 2))
+        elif code != 4:
+            raise RuntimeError(f"patch ended with {code}: {output}{errors}")
+        return code
+
+    async def start_load(self, nursery: trio.Nursery, fabric: Any) -> None:
+        """Open flows and send requests in the background."""
+        truth = self.report.truth
+        callers = FlowCaller(Endpoint(*fabric["packets"]), truth)
+        await callers.start(nursery)
+        self.say(f"open {self.flows} flows for each service and send requests")
+        for service in self.cluster.shape.services:
+            for number in range(self.flows):
+                fill = UPLOAD_FILL_BYTES if number % 4 == 0 else 0
+                nursery.start_soon(callers.run_flow, service, self.stop_flows, fill)
+                await trio.sleep(FLOW_OPENING_SECONDS)
+        requests = RequestCaller(Endpoint(*fabric["requests"]), truth, random.Random(3))
+        for service in self.cluster.shape.services:
+            for kind in ("read", "order", "upload"):
+                nursery.start_soon(self.send_requests, requests, service, kind)
+
+    async def send_requests(self, caller: RequestCaller, service: Any, kind: str) -> None:
+        """Send requests of one kind until told to stop."""
+        centres = self.cluster.shape.data_centres
+        while not self.stop_requests.is_set():
+            match kind:
+                case "read":
+                    await caller.read(service)
+                case "order":
+                    await caller.order(service, random.choice(centres))
+                case _:
+                    await caller.upload(service)
+            await trio.sleep(REQUEST_PAUSE_SECONDS)
+
+    async def race_operators(self) -> None:
+        """Let two operators patch the same version: one wins, the other is told."""
+        self.say("two operators patch the same version")
+        service = self.cluster.shape.services[0].service
+        codes: list[int] = []
+
+        async def patch_once(seconds: float) -> None:
+            change = {"services": {service: {"deadline_seconds": seconds}}}
+            codes.append(await self.patch(change, 1))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(patch_once, 8.0)
+            nursery.start_soon(patch_once, 9.0)
+        self.report.operator_conflicts = codes.count(4)
+        if sorted(codes) != [0, 4]:
+            raise RuntimeError(f"exit codes of racing patches are {codes}, allowed is 0 and 4")
+
+    async def lose_balancer(self) -> None:
+        """Kill a balancer and a control instance, and start them again."""
+        cluster = self.cluster
+        victim, control = cluster.balancer_instances[0], cluster.control_instances[0]
+        self.say(f"kill {victim.id} and {control.id}")
+        cluster.children[victim.id].kill()
+        cluster.children[control.id].kill()
+        await trio.sleep(SETTLE_SECONDS)
+        self.say("change the configuration while they are away")
+        await self.patch({"services": {self._last_service(): {"retry_budget": 0.05}}}, 2)
+        self.say(f"start {victim.id} and {control.id} again")
+        cluster.start_instance(control)
+        cluster.start_instance(victim)
+        await cluster.wait_ready([victim])
+
+    async def drain_upstream(self) -> None:
+        """Drain one upstream."""
+        service = self.cluster.shape.services[0].service
+        self.report.drained = f"{service}-1"
+        self.say(f"drain {self.report.drained}")
+        await self.post(self.upstream_controls[0], f"/drain/{self.report.drained}")
+        await trio.sleep(SETTLE_SECONDS)
+
+    async def stop_balancer_gracefully(self) -> None:
+        """Stop a balancer gracefully under load."""
+        victim: Instance = self.cluster.balancer_instances[1]
+        self.say(f"stop {victim.id} gracefully")
+        child = self.cluster.children[victim.id]
+        child.terminate()
+        while child.process.poll() is None:
+            await trio.sleep(0.05)
+        await trio.sleep(SETTLE_SECONDS / 2)
+
+    def _last_service(self) -> str:
+        return self.cluster.shape.services[-1].service
+
+    async def post(self, endpoint: Endpoint, path: str) -> None:
+        """Send a command to a stand-in."""
+        await exchange_once(endpoint, ExchangeRequest("POST", path), 1_000_000)
+
+    async def collect(self) -> None:
+        """Collect the ground truth of the upstreams."""
+        for endpoint in self.upstream_controls:
+            self.report.upstreams += await self.cluster.get_json(endpoint, "/truth")
+
+
+def print_report(report: DemoReport) -> None:
+    """Print the table, the broken promises and one JSON line."""
+    figures = report.to_json()
+    table = Table("figure", "value", title="what callers and upstreams saw")
+    for name, value in figures.items():
+        table.add_row(name, json.dumps(value))
+    Console().print(table)
+    broken = report.broken_promises()
+    for promise in broken:
+        print(f"broken promise: {promise}")
+    print(json.dumps({**figures, "broken_promises": broken}), flush=True)
+
+
+async def run_demo(shape: DeploymentShape, flows: int, folder: Path) -> DemoReport:
+    """Run the demo in a folder, within its time limit."""
+    with Cluster(shape, folder) as cluster:
+        demo = Demo(cluster, flows)
+        with trio.fail_after(LIMIT_SECONDS):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_cancel_on_signal, nursery.cancel_scope)
+                await demo.run()
+                nursery.cancel_scope.cancel()
+    return demo.report
+
+
+async def _cancel_on_signal(scope: trio.CancelScope) -> None:
+    with trio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as signals:
+        async for _ in signals:
+            scope.cancel()
+
+
+def main() -> int:
+    """Parse arguments, run and report."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--deployment", choices=sorted(DEPLOYMENTS), default="vandermeulen")
+    parser.add_argument("--balancers", type=int, default=3)
+    parser.add_argument("--data-centres", type=int, default=1)
+    parser.add_argument("--flows", type=int, default=FLOWS_PER_SERVICE)
+    parser.add_argument("--keep", type=Path, help="folder for settings and logs, kept afterwards")
+    options = parser.parse_args()
+    shape = scale_down(DEPLOYMENTS[options.deployment], options.balancers, options.data_centres)
+    with tempfile.TemporaryDirectory() as temporary:
+        folder = options.keep or Path(temporary)
+        report = trio.run(run_demo, shape, options.flows, folder)
+    print_report(report)
+    return 1 if report.broken_promises() else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/chicorypost/__main__.py
@@ -0,0 +1,6 @@
+"""Run the command line by ``python -m chicorypost``."""
+
+from chicorypost.commands import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/chicorypost/commands/_main.py
@@ -0,0 +1,30 @@
+"""The root command."""
+
+from dataclasses import dataclass
+
+import cappa
+
+from chicorypost.commands._daemons import BalancerCommand
+from chicorypost.commands._dump import DumpCommand
+from chicorypost.commands._keys import KeysCommand
+from chicorypost.commands._settings import SettingsCommand
+
+
+@cappa.command(
+    name="chicorypost",
+    help="Layer-4 load balancer.",
+    description=(
+        "Exit codes: 0 done, 1 refused, 2 wrong use or settings, 3 unreachable, "
+        "4 stale version, 5 not in force everywhere in time."
+    ),
+)
+@dataclass
+class RootCommand:
+    """The root command."""
+
+    command: cappa.Subcommands[BalancerCommand | DumpCommand | KeysCommand | SettingsCommand]
+
+
+def main() -> None:
+    """Parse the arguments and run the command that they name."""
+    cappa.invoke(RootCommand)
--- a/chicorypost/daemons/__init__.py
+++ b/chicorypost/daemons/__init__.py
@@ -1,1 +1,28 @@
 """Daemons: move bytes and time between sockets and state machines."""
+
+from chicorypost.daemons._balancer import BalancerDaemon, run_balancer
+from chicorypost.daemons._engine import Engine, Part
+from chicorypost.daemons._packets import PacketForwarder, open_packet_socket
+from chicorypost.daemons._settings import (
+    BalancerSettings,
+    ProcessSettings,
+    SettingsMistake,
+    check_settings,
+    load_settings,
+    parse_endpoint,
+)
+
+__all__ = [
+    "BalancerDaemon",
+    "BalancerSettings",
+    "Engine",
+    "PacketForwarder",
+    "Part",
+    "ProcessSettings",
+    "SettingsMistake",
+    "check_settings",
+    "load_settings",
+    "open_packet_socket",
+    "parse_endpoint",
+    "run_balancer",
+]
--- a/chicorypost/daemons/_announcements.py
+++ b/chicorypost/daemons/_announcements.py
@@ -16,7 +16,7 @@
 )
 from chicorypost.daemons._admin import json_response
 from chicorypost.daemons._engine import Engine
-from chicorypost.daemons._events import ANNOUNCEMENT_REFUSED
+from chicorypost.daemons._events import ANNOUNCEMENT_MALFORMED
 from chicorypost.transport import HttpServerRequest, HttpServerResponse
 from chicorypost.upstreams import Announced
 
@@ -89,7 +89,7 @@
             body = AnnouncementBody.model_validate(json.loads(request.body))
         except (ValueError, ValidationError) as error:
             reason = str(error)
-            self.engine.emit(ANNOUNCEMENT_REFUSED.emit(reason=reason[:500]))
+            self.engine.emit(ANNOUNCEMENT_MALFORMED.emit(reason=reason[:500]))
             return json_response(400, {"error": reason})
         self.engine.post(Announced(body.to_upstream(), body.valid_for_seconds))
         return json_response(200, {"accepted": body.upstream})
--- /dev/null
+++ b/chicorypost/daemons/_balancer.py
@@ -0,0 +1,283 @@
+"""The balancer process: listeners, state machines and a graceful stop."""
+
+import functools
+import random
+import socket
+import time
+from typing import Any
+
+import trio
+
+from chicorypost import __version__
+from chicorypost.base import (
+    DataCentreId,
+    Effect,
+    Endpoint,
+    Event,
+    Incarnation,
+    Member,
+    UpstreamsChanged,
+    ViewChanged,
+    WallTime,
+)
+from chicorypost.configuration import ConfigurationApplied, ConfigurationDocument
+from chicorypost.daemons._admin import AdminEndpoints
+from chicorypost.daemons._announcements import AnnouncementEndpoint
+from chicorypost.daemons._balancer_parts import BalancerParts
+from chicorypost.daemons._callers import CallerEndpoint
+from chicorypost.daemons._engine import Engine
+from chicorypost.daemons._events import STARTED, STOPPED
+from chicorypost.daemons._exchanges import UpstreamExchanges
+from chicorypost.daemons._packets import PacketForwarder, open_packet_socket
+from chicorypost.daemons._settings import BalancerSettings, parse_endpoint
+from chicorypost.daemons._stop import StopControl
+from chicorypost.events import Emit, log_event
+from chicorypost.flows import ReachableChanged, ReleaseHeld
+from chicorypost.membership import Leave
+from chicorypost.metrics import ProcessMetrics
+from chicorypost.requests import Respond, WallClockRead
+from chicorypost.transport import Hello, HttpServer, PeerNetwork, TlsContexts
+from chicorypost.upstreams import CancelExchange, Drain, StartExchange
+
+OBSERVE_SECONDS = 0.5
+"""How often the wall clock and the connections are looked at."""
+
+DRAIN_POLL_SECONDS = 0.05
+"""How often a graceful stop looks whether everything has ended."""
+
+
+class BalancerDaemon:
+    """One balancer.
+
+    Parameters
+    ----------
+    settings : BalancerSettings
+        Checked settings.
+    control, requests, announcements, admin : trio.SocketListener
+        Bound listeners.
+    """
+
+    def __init__(
+        self,
+        settings: BalancerSettings,
+        control: trio.SocketListener,
+        requests: trio.SocketListener,
+        announcements: trio.SocketListener,
+        admin: trio.SocketListener,
+    ) -> None:
+        self.settings = settings
+        self.metrics = ProcessMetrics()
+        self.document = ConfigurationDocument()
+        self.listeners = {
+            "control": control,
+            "requests": requests,
+            "announcements": announcements,
+            "admin": admin,
+        }
+        self.engine = Engine(self._send, self.emit, self.execute)
+        self.stop = StopControl(settings.stop_seconds, self.emit)
+        incarnation = Incarnation(time.time_ns() // 1_000_000)
+        packet_socket = open_packet_socket(parse_endpoint(settings.listen.packets))
+        self.member = self._make_member(incarnation, packet_socket)
+        self.parts = BalancerParts(settings, self.member, random.Random(), self.engine.now())
+        self.packets = PacketForwarder(
+            packet_socket, self.parts.router, self.engine, self.count_packets
+        )
+        self.network = self._make_network()
+        self.exchanges = UpstreamExchanges(
+            self.engine, self.parts.may_act, settings.requests_http.body_bytes
+        )
+        self.callers = CallerEndpoint(self.engine, self.metrics, lambda: self.document)
+        self.announcements = AnnouncementEndpoint(self.engine)
+        self.parts.add_to(self.engine)
+        self.servers = self._make_servers()
+        self._add_gauges()
+
+    def _make_member(self, incarnation: Incarnation, packet_socket: socket.socket) -> Member:
+        settings = self.settings
+        control = _endpoint_of(self.listeners["control"])
+        packets = Endpoint(*packet_socket.getsockname()[:2])
+        return Member(settings.id, incarnation, settings.data_centre, control, packets)
+
+    def _make_network(self) -> PeerNetwork:
+        settings, member = self.settings, self.member
+        hello = Hello(settings.id, member.incarnation, settings.data_centre, member.control)
+        tls = TlsContexts(settings.tls, self.emit)
+        network = PeerNetwork(settings.transport, hello, tls, self.engine.receive, self.emit)
+        for address in (*settings.balancers, *settings.controls):
+            network.learn_address(address.id, parse_endpoint(address.control))
+        return network
+
+    def _make_servers(self) -> dict[str, HttpServer]:
+        settings = self.settings
+        admin = AdminEndpoints(self.metrics, self.dump, self.not_ready)
+        return {
+            "requests": HttpServer(
+                "requests", settings.requests_http, self.callers.handle, self.emit
+            ),
+            "announcements": HttpServer(
+                "announcements", settings.announcements_http, self.announcements.handle, self.emit
+            ),
+            "admin": HttpServer("admin", settings.admin, admin.handle, self.emit),
+        }
+
+    def _add_gauges(self) -> None:
+        servers = self.servers
+        add = self.metrics.add_gauge
+        add("lease", "1 while this instance may act.", lambda: float(self._may_act()))
+        add(
+            "requests_running",
+            "Requests whose caller waits.",
+            lambda: float(servers["requests"].in_progress),
+        )
+        add("peer_messages_received", "Messages received.", lambda: float(self.network.received))
+        add(
+            "peer_bytes_sent",
+            "Bytes sent to other instances.",
+            lambda: float(sum(link.sent_bytes for link in self.network.links.values())),
+        )
+
+    def _send(self, to: Any, message: Any) -> None:
+        self.network.send(to, message)
+
+    def emit(self, event: Emit) -> None:
+        """Log and count an event."""
+        log_event(event)
+        self.metrics.count_event(event)
+
+    def count_packets(self, decision: str, number: int) -> None:
+        """Count packets by decision."""
+        self.metrics.packets.labels(decision).inc(number)
+
+    def execute(self, effect: Effect) -> None:
+        """Carry out an effect that is neither a message nor a log event."""
+        match effect:
+            case ReleaseHeld():
+                self.packets.release(effect)
+            case Respond():
+                self.callers.respond(effect)
+            case StartExchange():
+                self.exchanges.start(effect)
+            case CancelExchange():
+                self.exchanges.cancel(effect)
+            case ViewChanged(view=view):
+                for member in view.members:
+                    self.network.learn_address(member.instance, member.control)
+            case ConfigurationApplied(document=document):
+                self.document = document
+            case UpstreamsChanged():
+                self.engine.carry_out(self.parts.chooser.handle(effect, self.engine.now()))
+            case Event():
+                pass
+            case _:
+                raise AssertionError(f"effect is not known: {effect!r}")
+
+    def _may_act(self) -> bool:
+        return self.parts.may_act(self.engine.now())
+
+    def not_ready(self) -> str:
+        """Return why the fabric should not send here, or an empty string."""
+        if self.stop.is_stopping:
+            return "stopping"
+        if not self._may_act():
+            return "no lease"
+        if not self.document.services:
+            return "no configuration"
+        return ""
+
+    def dump(self) -> dict[str, Any]:
+        """Return the whole decision state of this process."""
+        return {
+            "id": self.settings.id,
+            "data_centre": self.settings.data_centre,
+            "incarnation": self.member.incarnation,
+            "program_version": __version__,
+            "ready": self.not_ready() or "ready",
+            "connections": {
+                link.peer: {"connected": link.connected, "dropped": link.dropped}
+                for link in self.network.links.values()
+            },
+            **self.engine.dump(),
+        }
+
+    def endpoints(self) -> dict[str, Endpoint]:
+        """Return where each listener is bound."""
+        bound = {name: _endpoint_of(listener) for name, listener in self.listeners.items()}
+        return {**bound, "packets": self.packets.endpoint}
+
+    async def run(self) -> None:
+        """Serve until a graceful stop has ended."""
+        self.emit(STARTED.emit(role="balancer", version=__version__))
+        async with trio.open_nursery() as nursery:
+            self.exchanges.nursery = nursery
+            nursery.start_soon(self.network.run, self.listeners["control"])
+            for name, server in self.servers.items():
+                serve = functools.partial(
+                    trio.serve_listeners, server.serve, [self.listeners[name]]
+                )
+                nursery.start_soon(serve)
+            nursery.start_soon(self.packets.run)
+            nursery.start_soon(self.engine.run_timer)
+            nursery.start_soon(self.stop.run, self.drain, nursery.cancel_scope)
+            nursery.start_soon(self._observe_surroundings)
+        cut = self.servers["requests"].in_progress
+        self.emit(STOPPED.emit(cut_requests=cut, graceful=self.stop.graceful))
+
+    async def _observe_surroundings(self) -> None:
+        """Tell the machines the wall clock and which data centres can be reached."""
+        reachable: frozenset[DataCentreId] = frozenset()
+        while True:
+            self.engine.post(WallClockRead(WallTime(time.time())))
+            if self._reachable() != reachable:
+                reachable = self._reachable()
+                self.engine.post(ReachableChanged(reachable))
+            await trio.sleep(OBSERVE_SECONDS)
+
+    def _reachable(self) -> frozenset[DataCentreId]:
+        connected = {link.peer for link in self.network.links.values() if link.connected}
+        found = {self.settings.data_centre}
+        for address in self.settings.balancers:
+            if address.id in connected:
+                found.add(address.data_centre)
+        return frozenset(found)
+
+    async def drain(self) -> None:
+        """Take no new work, finish what runs, hand over and leave the view."""
+        # The fabric needs time to see that this instance is not ready any more.
+        await trio.sleep(self.settings.stop_notice_seconds)
+        self.servers["requests"].stop()
+        self.engine.post(Drain())
+        while self.servers["requests"].in_progress or not self.parts.idle:
+            await trio.sleep(DRAIN_POLL_SECONDS)
+        self.engine.post(Leave())
+        await trio.sleep(DRAIN_POLL_SECONDS)
+
+
+def _endpoint_of(listener: trio.SocketListener) -> Endpoint:
+    host, port = listener.socket.getsockname()[:2]
+    return Endpoint(host, port)
+
+
+async def _listen(text: str) -> trio.SocketListener:
+    endpoint = parse_endpoint(text)
+    (listener,) = await trio.open_tcp_listeners(endpoint.port, host=endpoint.host)
+    return listener
+
+
+async def run_balancer(settings: BalancerSettings) -> None:
+    """Run a balancer until it is stopped.
+
+    Parameters
+    ----------
+    settings : BalancerSettings
+        Checked settings.
+    """
+    listen = settings.listen
+    daemon = BalancerDaemon(
+        settings,
+        await _listen(listen.control),
+        await _listen(listen.requests),
+        await _listen(listen.announcements),
+        await _listen(listen.admin),
+    )
+    await daemon.run()
--- /dev/null
+++ b/chicorypost/daemons/_balancer_parts.py
@@ -0,0 +1,128 @@
+"""The state machines of a balancer and what each is told."""
+
+import time
+from random import Random
+
+from chicorypost.base import (
+    DataCentreId,
+    Incarnation,
+    Instant,
+    LeaseChanged,
+    Member,
+    Message,
+    UpstreamsChanged,
+    ViewChanged,
+    WallTime,
+    message_types,
+)
+from chicorypost.configuration import ConfigurationApplied, ConfigurationFollower, GatedMembership
+from chicorypost.daemons._engine import Engine, Part
+from chicorypost.daemons._settings import BalancerSettings, InstanceAddress, parse_endpoint
+from chicorypost.flows import FlowRouter, ReachableChanged
+from chicorypost.membership import Leave, Membership
+from chicorypost.requests import CallerGone, RequestArrived, RequestService, WallClockRead
+from chicorypost.upstreams import (
+    Announced,
+    DispatchAnswer,
+    Dispatcher,
+    Drain,
+    ExchangeEnded,
+    UpstreamChooser,
+    UpstreamDirectory,
+)
+
+CONFIGURATION_TAGS = range(200, 300)
+MEMBERSHIP_TAGS = range(300, 400)
+FLOW_TAGS = range(400, 500)
+DIRECTORY_TAGS = range(500, 520)
+DISPATCH_TAGS = range(520, 540)
+REQUEST_TAGS = range(600, 700)
+
+
+class BalancerParts:
+    """The state machines of one balancer.
+
+    Parameters
+    ----------
+    settings : BalancerSettings
+        Checked settings.
+    member : Member
+        This balancer, with the incarnation of this start.
+    random : Random
+        Source of randomness of all machines.
+    now : Instant
+        Time of the start.
+
+    Notes
+    -----
+    The lease goes from membership to the configuration follower alone. The follower passes it on
+    to the other machines while the configuration is current enough to serve.
+    """
+
+    def __init__(
+        self, settings: BalancerSettings, member: Member, random: Random, now: Instant
+    ) -> None:
+        own = (settings.id, settings.data_centre)
+        peers = tuple(_to_member(address) for address in settings.balancers)
+        controls = tuple(address.id for address in settings.controls)
+        self.membership = Membership(settings.membership, member, peers, random, now)
+        self.follower = ConfigurationFollower(
+            settings.configuration, member, controls, peers, random, now
+        )
+        self.gated = GatedMembership(self.membership, self.follower)
+        self.directory = UpstreamDirectory(settings.directory, *own, now)
+        self.router = FlowRouter(settings.flows, *own, random, now)
+        self.chooser = UpstreamChooser(settings.chooser, random)
+        self.dispatcher = Dispatcher(settings.dispatcher, member, now)
+        wall = WallTime(time.time())
+        requests = settings.requests
+        if not requests.data_centres:
+            requests = requests.model_copy(update={"data_centres": data_centres_of(settings)})
+        self.requests = RequestService(requests, member, self.chooser, random, now, wall)
+
+    def add_to(self, engine: Engine) -> None:
+        """Add the machines to an engine."""
+        shared = (ViewChanged, LeaseChanged, ConfigurationApplied, UpstreamsChanged)
+        membership = (*_messages(MEMBERSHIP_TAGS), *_messages(CONFIGURATION_TAGS))
+        dispatched = _messages(DISPATCH_TAGS, but=DispatchAnswer)
+        answered: tuple[type[Message], ...] = (*_messages(REQUEST_TAGS), DispatchAnswer)
+        engine.add(Part("membership", self.gated, membership, (Leave,)))
+        engine.add(
+            Part("upstreams", self.directory, _messages(DIRECTORY_TAGS), (Announced, ViewChanged))
+        )
+        engine.add(Part("flows", self.router, _messages(FLOW_TAGS), (*shared, ReachableChanged)))
+        engine.add(Part("dispatch", self.dispatcher, dispatched, (*shared, ExchangeEnded, Drain)))
+        engine.add(
+            Part(
+                "requests",
+                self.requests,
+                answered,
+                (*shared, RequestArrived, CallerGone, WallClockRead, Drain),
+            )
+        )
+
+    def may_act(self, now: Instant) -> bool:
+        """Return whether this balancer may serve: it has a lease and a current configuration."""
+        return self.gated.may_act(now)
+
+    @property
+    def idle(self) -> bool:
+        """Whether a drained balancer may leave without cutting anything."""
+        return self.dispatcher.idle and self.requests.idle
+
+
+def data_centres_of(settings: BalancerSettings) -> tuple[DataCentreId, ...]:
+    """Return the data centres of the address book, in the same order on every instance."""
+    names = {address.data_centre for address in settings.balancers}
+    return tuple(sorted(names | {settings.data_centre}))
+
+
+def _to_member(address: InstanceAddress) -> Member:
+    control = parse_endpoint(address.control)
+    packets = parse_endpoint(address.packets or address.control)
+    return Member(address.id, Incarnation(0), address.data_centre, control, packets)
+
+
+def _messages(tags: range, but: type[Message] | None = None) -> tuple[type[Message], ...]:
+    types = [cls for cls in message_types() if cls.__struct_config__.tag in tags]
+    return tuple(cls for cls in types if cls is not but)
--- /dev/null
+++ b/chicorypost/daemons/_callers.py
@@ -0,0 +1,146 @@
+"""The listener to which callers send requests."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import trio
+
+from chicorypost.base import Instant, RequestKey, ServiceId, WallTime
+from chicorypost.configuration import ConfigurationDocument, ServiceSpec
+from chicorypost.daemons._admin import json_response
+from chicorypost.daemons._engine import Engine
+from chicorypost.daemons._exchanges import DEADLINE_HEADER
+from chicorypost.metrics import ProcessMetrics
+from chicorypost.requests import CallerGone, RequestArrived, Respond
+from chicorypost.transport import HttpServerRequest, HttpServerResponse
+from chicorypost.upstreams import HttpRequest, HttpResponse
+
+KEY_HEADER = "idempotency-key"
+HOP_BY_HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+@dataclass(slots=True)
+class CallerEndpoint:
+    """Hands requests to the request machine and waits for its one response.
+
+    Parameters
+    ----------
+    engine : Engine
+        Told of each request.
+    metrics : ProcessMetrics
+        Counts requests and times them.
+    document : callable
+        Returns the configuration in force.
+    """
+
+    engine: Engine
+    metrics: ProcessMetrics
+    document: Callable[[], ConfigurationDocument]
+    next_ticket: int = 1
+    waiting: dict[int, trio.Event] = field(default_factory=dict)
+    responses: dict[int, HttpResponse] = field(default_factory=dict)
+
+    async def handle(self, request: HttpServerRequest) -> HttpServerResponse:
+        """Serve one request."""
+        found = find_service(self.document(), request.header("host") or "")
+        if found is None:
+            host = request.header("host")
+            return json_response(404, {"title": f"no service has the host {host!r}"})
+        service, spec = found
+        deadline = self._read_deadline(request, spec)
+        if deadline is None:
+            allowed = "seconds since 1970-01-01 UTC as a decimal number"
+            return json_response(400, {"title": f"{DEADLINE_HEADER} is not {allowed}"})
+        return await self._run(request, service, spec, deadline)
+
+    async def _run(
+        self, request: HttpServerRequest, service: ServiceId, spec: ServiceSpec, deadline: Instant
+    ) -> HttpServerResponse:
+        ticket = self.next_ticket
+        self.next_ticket += 1
+        answered = self.waiting[ticket] = trio.Event()
+        started = self.engine.now()
+        key = request.header(KEY_HEADER)
+        event = RequestArrived(
+            ticket=ticket,
+            request=_strip(request),
+            service=service,
+            key=RequestKey(key) if key is not None else None,
+            deadline=deadline,
+            wall=WallTime(time.time()),
+            priority=spec.priority,
+        )
+        try:
+            self.engine.post(event)
+            await answered.wait()
+        except trio.Cancelled:
+            self.engine.post(CallerGone(ticket))
+            raise
+        finally:
+            del self.waiting[ticket]
+            response = self.responses.pop(ticket, None)
+        assert response is not None
+        self.metrics.requests.labels(service, str(response.status)).inc()
+        self.metrics.request_seconds.labels(service).observe(self.engine.now() - started)
+        return _to_server_response(response)
+
+    def respond(self, effect: Respond) -> None:
+        """Give the response to the caller, if it still waits."""
+        answered = self.waiting.get(effect.ticket)
+        if answered is not None:
+            self.responses[effect.ticket] = effect.response
+            answered.set()
+
+    def _read_deadline(self, request: HttpServerRequest, spec: ServiceSpec) -> Instant | None:
+        now = self.engine.now()
+        latest = now + spec.deadline_seconds
+        text = request.header(DEADLINE_HEADER)
+        if text is None:
+            return Instant(latest)
+        try:
+            wall = float(text)
+        except ValueError:
+            return None
+        if wall != wall:
+            return None
+        return Instant(min(latest, now + wall - time.time()))
+
+
+def find_service(
+    document: ConfigurationDocument, host: str
+) -> tuple[ServiceId, ServiceSpec] | None:
+    """Return the service whose host names include the value of a Host header, or None."""
+    name = host.rsplit(":", 1)[0].lower()
+    for service, spec in document.services.items():
+        if name in spec.hosts:
+            return service, spec
+    return None
+
+
+def _strip(request: HttpServerRequest) -> HttpRequest:
+    headers = tuple(
+        (name, value)
+        for name, value in request.headers
+        if name.lower() not in HOP_BY_HOP_HEADERS and name.lower() != DEADLINE_HEADER
+    )
+    return HttpRequest(request.method, request.target, headers, request.body)
+
+
+def _to_server_response(response: HttpResponse) -> HttpServerResponse:
+    headers = tuple(
+        (name, value) for name, value in response.headers if name.lower() not in HOP_BY_HOP_HEADERS
+    )
+    return HttpServerResponse(response.status, response.body, headers)
--- a/chicorypost/daemons/_engine.py
+++ b/chicorypost/daemons/_engine.py
@@ -157,17 +157,17 @@
             with trio.move_on_at(self.wake_at):
                 await self.wake.wait()
             if self.wake_at is not None and self.now() >= self.wake_at:
-                self._tick()
+                self.tick()
                 # A machine that asks for a past deadline again must not starve the loop.
                 await trio.sleep(WAKE_SLACK_SECONDS)
 
-    def _tick(self) -> None:
+    def tick(self) -> None:
+        """Tell every machine whose deadline has come that time has passed."""
         for part in self.parts:
             deadline = part.machine.next_deadline()
-            now = self.now()
-            if deadline is not None and deadline <= now:
-                self.carry_out(part.machine.handle(Tick(), now))
-        self.reschedule()
+            if deadline is not None and deadline <= self.now():
+                self.carry_out(part.machine.handle(Tick(), self.now()))
+        self._drain()
 
     def dump(self) -> dict[str, Any]:
         """Return the decision state of every machine."""
--- a/chicorypost/daemons/_events.py
+++ b/chicorypost/daemons/_events.py
@@ -24,9 +24,9 @@
     "The packet socket reported an error; forwarding goes on.",
     "reason",
 )
-ANNOUNCEMENT_REFUSED = define_event(
+ANNOUNCEMENT_MALFORMED = define_event(
     6,
-    "announcement-refused",
+    "announcement-malformed",
     Level.WARNING,
     "An upstream sent an announcement that is not valid.",
     "reason",
--- a/chicorypost/daemons/_packets.py
+++ b/chicorypost/daemons/_packets.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from chicorypost.base import Endpoint
+from chicorypost.base import Endpoint, Instant
 from chicorypost.daemons._engine import Engine
 from chicorypost.daemons._events import PACKET_SOCKET_ERROR
 from chicorypost.flows import (
@@ -27,13 +27,22 @@
 """Precedes a packet that one balancer passed to another; no IPv4 packet begins with a zero byte."""
 
 
+def open_packet_socket(endpoint: Endpoint) -> socket.socket:
+    """Open the UDP socket to which the fabric sends packets."""
+    packet_socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    packet_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
+    packet_socket.setblocking(False)
+    packet_socket.bind((endpoint.host, endpoint.port))
+    return packet_socket
+
+
 class PacketForwarder:
     """The packet listener of a balancer.
 
     Parameters
     ----------
-    endpoint : Endpoint
-        Where to listen.
+    packet_socket : socket.socket
+        Made by `open_packet_socket`.
     router : FlowRouter
         Decides.
     engine : Engine
@@ -49,7 +58,7 @@
 
     def __init__(
         self,
-        endpoint: Endpoint,
+        packet_socket: socket.socket,
         router: FlowRouter,
         engine: Engine,
         count: Callable[[str, int], None],
@@ -57,10 +66,7 @@
         self.router = router
         self.engine = engine
         self.count = count
-        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
-        self.socket.setblocking(False)
-        self.socket.bind((endpoint.host, endpoint.port))
+        self.socket = packet_socket
 
     @property
     def endpoint(self) -> Endpoint:
@@ -77,15 +83,15 @@
 
     def forward_batch(self) -> None:
         """Read and forward the packets that wait, up to a bound."""
-        for _ in range(BATCH_PACKETS):
-            try:
-                data = self.socket.recv(DATAGRAM_BYTES)
-            except BlockingIOError:
-                break
-            except OSError as error:
-                self.engine.emit(PACKET_SOCKET_ERROR.emit(reason=str(error)))
-                break
-            self.forward(data)
+        receive = self.socket.recv
+        forward = self.forward
+        try:
+            for _ in range(BATCH_PACKETS):
+                forward(receive(DATAGRAM_BYTES))
+        except BlockingIOError:
+            pass
+        except OSError as error:
+            self.engine.emit(PACKET_SOCKET_ERROR.emit(reason=str(error)))
         self.engine.reschedule()
 
     def forward(self, data: bytes) -> None:
@@ -99,7 +105,12 @@
             self.router.count_refused(packet)
             self.count("refused", 1)
             return
-        self.carry_out(self.router.route(packet, self.engine.now(), hops), data, hops)
+        decision = self.router.route(packet, Instant(self.engine.clock()), hops)
+        # Nearly all packets take this branch, so it is tested before the general match.
+        if type(decision) is ForwardTo:
+            self.send(data, decision.upstream.packets)
+        else:
+            self.carry_out(decision, data, hops)
 
     def carry_out(self, decision: Decision, data: bytes, hops: int) -> None:
         """Do with a packet what the router decided."""
--- a/chicorypost/daemons/_settings.py
+++ b/chicorypost/daemons/_settings.py
@@ -8,9 +8,11 @@
 from pydantic import AfterValidator, Field, ValidationError, model_validator
 
 from chicorypost.base import DataCentreId, Endpoint, InstanceId, Settings
+from chicorypost.configuration import DistributionSettings
 from chicorypost.events import Level
 from chicorypost.flows import FlowSettings
 from chicorypost.membership import MembershipSettings
+from chicorypost.requests import RequestSettings
 from chicorypost.transport import HttpSettings, TlsSettings, TransportSettings
 from chicorypost.upstreams import ChooserSettings, DirectorySettings, DispatcherSettings
 
@@ -117,16 +119,27 @@
 
 
 class BalancerSettings(ProcessSettings):
-    """Settings of ``chicorypost balancer``."""
+    """Settings of ``chicorypost balancer``.
+
+    Parameters
+    ----------
+    listen : BalancerListen
+        Where the process listens.
+    stop_notice_seconds : float, default 1
+        How long a stopping balancer goes on while the fabric learns that it is not ready.
+    """
 
     listen: BalancerListen
     requests_http: HttpSettings = HttpSettings()
     announcements_http: HttpSettings = HttpSettings(body_bytes=16 * 1024)
+    stop_notice_seconds: float = Field(default=1.0, ge=0, le=60)
+    configuration: DistributionSettings = DistributionSettings()
     membership: MembershipSettings = MembershipSettings()
     flows: FlowSettings = FlowSettings()
     directory: DirectorySettings = DirectorySettings()
     chooser: ChooserSettings = ChooserSettings()
     dispatcher: DispatcherSettings = DispatcherSettings()
+    requests: RequestSettings = RequestSettings()
 
 
 @dataclass(frozen=True, slots=True)
--- a/chicorypost/flows/_packet.py
+++ b/chicorypost/flows/_packet.py
@@ -20,7 +20,10 @@
 ACK = 0x10
 MAX_REMEMBERED_ADDRESSES = 4096
 
-_PREFIX = struct.Struct("!BBHHHBB")
+# Version and header length, total length, fragment field, protocol, then the source and
+# destination addresses and ports as one run of bytes.
+_HEADERS = struct.Struct("!BxHxxHxB2x12s")
+_PROTOCOL_BYTES = {TCP: bytes([TCP]), UDP: bytes([UDP])}
 _addresses: dict[bytes, Address] = {}
 
 
@@ -74,7 +77,7 @@
     size = len(data)
     if size < IPV4_HEADER_BYTES + UDP_HEADER_BYTES or size > MAX_PACKET_BYTES:
         return _refuse_size(size)
-    first, _, total, _, fragment, _, protocol = _PREFIX.unpack_from(data)
+    first, total, fragment, protocol, endpoints = _HEADERS.unpack_from(data)
     if first != VERSION_4_WITHOUT_OPTIONS:
         return _refuse_first_byte(first)
     if fragment & FRAGMENT_MASK:
@@ -91,10 +94,10 @@
     elif protocol != UDP:
         detail = f"protocol is {protocol}, allowed are {TCP} and {UDP}"
         return BadPacket(PacketFault.WRONG_PROTOCOL, detail)
-    flow = FlowKey(data[9:10] + data[12:24])
-    target = data[9:10] + data[16:20] + data[22:24]
+    flow = _PROTOCOL_BYTES[protocol] + endpoints
+    target = flow[:1] + flow[5:9] + flow[11:]
     address = _addresses.get(target) or _format_address(target)
-    return ParsedPacket(flow, address, opens, closes, data)
+    return ParsedPacket(FlowKey(flow), address, opens, closes, data)
 
 
 def _format_address(target: bytes) -> Address:
--- a/chicorypost/transport/__init__.py
+++ b/chicorypost/transport/__init__.py
@@ -16,6 +16,7 @@
     exchange_once,
     open_http,
 )
+from chicorypost.transport._keys import write_keys
 from chicorypost.transport._messages import Heartbeat, HeartbeatReply, Hello
 from chicorypost.transport._peers import PeerLink, PeerNetwork
 from chicorypost.transport._settings import HttpSettings, TlsSettings, TransportSettings
@@ -46,4 +47,5 @@
     "encode_frame",
     "exchange_once",
     "open_http",
+    "write_keys",
 ]
--- a/chicorypost/transport/_peers.py
+++ b/chicorypost/transport/_peers.py
@@ -187,14 +187,11 @@
             self.accepted -= 1
 
     async def _serve_peer(self, tcp: trio.SocketStream) -> None:
-        stream: trio.abc.Stream = tcp
-        context = self.tls.server()
-        names: set[str] | None = None
         with trio.fail_after(self.settings.silence_seconds):
-            if context is not None:
-                stream = trio.SSLStream(tcp, context, server_side=True, https_compatible=True)
-                await stream.do_handshake()
-                names = certificate_names(stream.getpeercert())
+            secured = await self._secure(tcp)
+            if secured is None:
+                return
+            stream, names = secured
             reader = FrameReader(stream)
             hello = await reader.receive()
         async with stream:
@@ -206,6 +203,22 @@
                 self.learn_address(hello.instance, hello.control)
                 await self._receive_messages(hello.instance, reader, stream)
 
+    async def _secure(
+        self, tcp: trio.SocketStream
+    ) -> tuple[trio.abc.Stream, set[str] | None] | None:
+        """Return the stream to use and the names in the peer's certificate, or None if refused."""
+        context = self.tls.server()
+        if context is None:
+            return tcp, None
+        stream = trio.SSLStream(tcp, context, server_side=True, https_compatible=True)
+        try:
+            await stream.do_handshake()
+        except trio.BrokenResourceError as error:
+            self._refuse("unknown", f"TLS handshake failed: {error.__cause__!r}")
+            await trio.aclose_forcefully(tcp)
+            return None
+        return stream, certificate_names(stream.getpeercert())
+
     async def _receive_messages(
         self, peer: InstanceId, reader: FrameReader, stream: trio.abc.Stream
     ) -> None:
--- /dev/null
+++ b/tests/test_fault_matrix.py
@@ -0,0 +1,72 @@
+"""Holds docs/FAULTS.md to the tests: each cell names tests, a reason or "not proved"."""
+
+import ast
+import re
+from functools import cache
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parents[1]
+PAGE = ROOT / "docs/FAULTS.md"
+TEST_ID = re.compile(r"`([\w./]+\.py)::(\w+)`")
+FAULTS = (
+    "kill",
+    "lost disk",
+    "cut",
+    "freeze",
+    "operator race",
+    "lost answer",
+    "uneven news",
+    "silent connection",
+    "restart after hundreds of changes",
+    "second loss after repair",
+    "two faults together",
+)
+PROMISES = 8
+
+
+def read_cells() -> list[tuple[str, str, str]]:
+    """Return promise, fault and text of each cell."""
+    promise, cells = "", []
+    for line in PAGE.read_text(encoding="utf-8").splitlines():
+        if line.startswith("## "):
+            promise = line[3:]
+        row = re.fullmatch(r"\| ([^|]+) \| (.+) \|", line)
+        if row and row[1] not in ("fault", "---"):
+            cells.append((promise, row[1].strip(), row[2].strip()))
+    return cells
+
+
+CELLS = read_cells()
+
+
+@cache
+def names_in(file: str) -> frozenset[str]:
+    """Return the top-level functions and classes of a test module."""
+    path = ROOT / file
+    assert path.is_file(), f"{file} does not exist"
+    assert path.name.startswith("test_")
+    tree = ast.parse(path.read_text(encoding="utf-8"))
+    named = (node for node in tree.body if isinstance(node, ast.FunctionDef | ast.ClassDef))
+    assigned = (node for node in tree.body if isinstance(node, ast.Assign))
+    names = {node.name for node in named}
+    targets = (target for node in assigned for target in node.targets)
+    return frozenset(names | {target.id for target in targets if isinstance(target, ast.Name)})
+
+
+def test_every_promise_is_held_against_every_fault():
+    promises = sorted({promise for promise, _, _ in CELLS})
+    assert len(promises) == PROMISES
+    assert [(p, f) for p, f, _ in CELLS] == [
+        (p, f) for p in dict.fromkeys(promises) for f in FAULTS
+    ]
+
+
+@pytest.mark.parametrize(("promise", "fault", "text"), CELLS, ids=lambda value: value[:24])
+def test_each_cell_names_a_proof_or_says_that_there_is_none(promise, fault, text):
+    tests = TEST_ID.findall(text)
+    for file, name in tests:
+        assert name in names_in(file), f"{file} has no {name}"
+        assert name.lower().startswith("test")
+    assert tests or text.startswith(("Can't occur, because ", "Not proved"))
