Count only members of the view among the confirmations of a relay

Cause: a balancer polls random balancers of other data centres too. A relay that got such a poll kept its standing, whose epoch belongs to another data centre; a greater one held every release back for good. Ruled out: a longer time for healing (the dump showed heard_epoch 5 beside epoch 4 and a standing of aalst at the relay of gent). Change: a relay takes confirmations only from members of its view. Before: test_epochs_of_another_data_centre_hold_no_release_back fails.

--- a/chicorypost/configuration/_follower.py
+++ b/chicorypost/configuration/_follower.py
@@ -206,7 +206,8 @@
         return AnswerSource.RETAINED if self.gate.retained else AnswerSource.UNCERTAIN
 
     def _confirm(self, sender: InstanceId, standing: Standing, now: Instant) -> list[Effect]:
-        if self.relay is not None:
+        members = self.view.members if self.view is not None else ()
+        if self.relay is not None and find_member(members, sender) is not None:
             self.relay.confirm(sender, standing, now)
         return self._ask_if_newer(sender, standing.version)
 
--- a/chicorypost/configuration/tests/test_distribution.py
+++ b/chicorypost/configuration/tests/test_distribution.py
@@ -2,13 +2,14 @@
 
 import pytest
 
-from chicorypost.base import Instant, Received, Version
+from chicorypost.base import DataCentreId, Epoch, InstanceId, Instant, Received, Version
 from chicorypost.configuration import version_force
 from chicorypost.configuration._messages import (
     AnswerHead,
     AnswerSource,
     ConfigurationDelta,
     ConfigurationFull,
+    ConfigurationPoll,
 )
 from chicorypost.configuration._window import DocumentWindow
 from chicorypost.configuration.tests._cluster import SETTINGS, Cluster
@@ -221,6 +222,19 @@
     assert cluster.balancers["gent-2"].routes[ADDRESS] == "ordering"
 
 
+def test_epochs_of_another_data_centre_hold_no_release_back():
+    cluster = started()
+    for _ in range(5):
+        cluster.set_view("aalst", cluster.views["aalst"].members)
+    relay = cluster.balancers["gent-0"].follower.relay_name
+    standing = cluster.balancers["aalst-0"].follower.standing()
+    poll = ConfigurationPoll("", DataCentreId("aalst"), Epoch(6), False, standing)
+    cluster.give(relay, Received(InstanceId("aalst-0"), poll))
+    move(cluster)
+    cluster.run(3)
+    assert cluster.balancers["gent-0"].routes[ADDRESS] == "ordering"
+
+
 def test_deadlines_never_lie_in_the_past():
     cluster = started()
     for _ in range(50):
