Find and mend five losses of placements by random sequences of faults

Cause: the exhaustive exploration covers two and three balancers without losses; joins, one lost balancer, lost, doubled and late messages were covered by single examples only. Ruled out: a larger exhaustive exploration (two moves with a repeated open did not end within 200 s). Mended: (1) a skipped round let an instance believe it had all registers of its buckets; (2) an answer to a pull told a version but not the opens placed before it; (3) placements of a slot that the receiver did not know to be moving were thrown away; (4) an owner that still knew the slot as stable answered an open and forgot it; (5) a coordinator that learned of a move by the merge of tables did not report its own recent opens. The trials fail with an owner that does not wait, without recent opens, and without takeover of registers; the death at every step fails with an owner that answers before the backup has stored. Conclusion: an open that only a lost balancer had placed, and that its caller repeats, may be placed anew; this is by design, everything else found is mended or named above.

--- a/chicorypost/flows/_owner.py
+++ b/chicorypost/flows/_owner.py
@@ -12,7 +12,7 @@
     unpack_flows,
     unpack_hashes,
 )
-from chicorypost.flows._state import RouterState, ServiceState
+from chicorypost.flows._state import RecentOpen, RouterState, ServiceState
 from chicorypost.flows._table import SlotPhase
 
 
@@ -171,6 +171,7 @@
         if choice is None or not state.takes_opens(choice, service, now):
             return
         if entry.phase is SlotPhase.STABLE:
+            state.recent.append(RecentOpen(now, name, flow, choice))
             answers.setdefault((asker, name), []).append((flow, choice))
             return
         state.register.put(name, slot, flow, choice)
--- a/chicorypost/flows/_state.py
+++ b/chicorypost/flows/_state.py
@@ -21,7 +21,7 @@
 from chicorypost.flows._messages import NO_TABLE
 from chicorypost.flows._register import FlowRegister
 from chicorypost.flows._settings import FlowSettings
-from chicorypost.flows._table import ServiceTable, SlotEntry, SlotPhase
+from chicorypost.flows._table import ServiceTable, SlotEntry
 from chicorypost.flows._targets import Target, Targets
 
 MAX_RECENT_OPENS = 65_536
@@ -177,11 +177,14 @@
         ]
 
     def store(self, service: ServiceState, flow: int, upstream: UpstreamId) -> None:
-        """Put a placement into the register unless its slot is known to be stable."""
+        """Put a placement into the register.
+
+        Notes
+        -----
+        The sender may know of a move that this instance does not know yet, so a placement is kept
+        even where the slot is stable here. It goes when an update says that the slot is stable.
+        """
         if service.table is None:
             service.early[flow] = upstream
             return
-        slot = flow % len(service.table.entries)
-        entry = service.entry(slot)
-        if entry is None or entry.phase is not SlotPhase.STABLE:
-            self.register.put(service.service, slot, flow, upstream)
+        self.register.put(service.service, flow % len(service.table.entries), flow, upstream)
--- a/chicorypost/flows/_sync.py
+++ b/chicorypost/flows/_sync.py
@@ -52,6 +52,8 @@
     def start(self, now: Instant) -> list[Effect]:
         """Begin a round with every other member of the domain."""
         state = self.state
+        if not state.synced:
+            self.synced_domain = None  # owners of the unfinished round may have placed flows
         state.synced = False
         self.round += 1
         self.missing = set(state.others())
@@ -82,11 +84,15 @@
         if not state.in_domain(message.domain):
             return []
         versions = tuple(self._version(service) for service in state.services.values())
-        recent, registered = [], []
+        recent = [
+            self._recent_for(service, sender)
+            for service in state.services.values()
+            if service.table is not None
+        ]
+        registered = []
         for wanted in message.wanted:
             service = state.services.get(wanted.service)
             if service is not None and service.table is not None:
-                recent.append(self._recent_for(service, sender))
                 registered.append(_registered_in(state, service, set(wanted.buckets)))
         tables = tuple(self._differing(message.digests))
         answer = StateAnswer(
@@ -287,11 +293,12 @@
         tables = usable or [report.table for report in reports]
         if not tables:
             return []
+        before = set(service.table.moving) if service.table is not None else set()
         service.usable = True
         service.table, changed = _merge_tables(service.service, tables)
         self._store_early(service)
         self._drop_settled(service, range(len(service.table.entries)))
-        effects = self.confirm(service, set(), now)
+        effects = self.confirm(service, service.table.moving - before, now)
         if changed:
             version = service.table.version
             effects.append(
--- a/chicorypost/flows/tests/explorer.py
+++ b/chicorypost/flows/tests/explorer.py
@@ -143,6 +143,7 @@
                     sorted(waiting),
                     sorted(cached.items()),
                     sorted(router.owner.askers.items()),
+                    sorted({(opened.flow, opened.upstream) for opened in router.state.recent}),
                     router.sync.round,
                     router.state.synced,
                 ]
--- /dev/null
+++ b/chicorypost/flows/tests/test_faults.py
@@ -0,0 +1,171 @@
+"""Random sequences of packets, news, losses, joins and message faults."""
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from chicorypost.base import UpstreamState
+from chicorypost.flows._messages import pack_flows
+from chicorypost.flows._state import RouterState
+from chicorypost.flows._sync import Sync
+from chicorypost.flows.tests.fakes import ORDERS, Cluster, upstream
+
+PORTS = range(1, 13)
+REPEAT_SECONDS = 5.0
+NEWS = (
+    (upstream("u1", state=UpstreamState.DRAINING),),
+    (upstream("u4"),),
+    (upstream("u1"), upstream("u2", state=UpstreamState.DRAINING)),
+)
+WEIGHTS = {
+    "open": 3,
+    "middle": 2,
+    "deliver": 4,
+    "lose": 1,
+    "double": 1,
+    "advance": 2,
+    "learn": 2,
+    "kill": 1,
+    "join": 1,
+    "show": 2,
+}
+KINDS = [kind for kind, weight in WEIGHTS.items() for _ in range(weight)]
+NUMBER = st.integers(0, 1 << 16)
+ACTIONS = st.lists(st.tuples(st.sampled_from(KINDS), NUMBER, NUMBER), max_size=120)
+
+
+class Trial:
+    """Carries out random actions; at most one balancer is lost."""
+
+    def __init__(self):
+        upstreams = [upstream("u1"), upstream("u2"), upstream("u3")]
+        self.cluster = Cluster("abcd", upstreams, slots=6)
+        self.learned = dict.fromkeys("abcd", 0)
+        self.opened = {}
+        self.unknown = set()
+        self.killed = self.joined = False
+
+    def run(self, actions):
+        for action, first, second in actions:
+            getattr(self, action)(first, second)
+            assert self.broken() == []
+        for name in self.cluster.routers:
+            self.cluster.show_views(name)
+            while self.learned[name] < len(NEWS):
+                self.learn_at(name)
+        self.cluster.settle(rounds=20)
+        for name in self.cluster.routers:
+            for port in PORTS:
+                if self.cluster.targets(port):
+                    self.cluster.send(name, port)
+        self.cluster.settle()
+        assert self.broken() == []
+
+    def broken(self):
+        known = set(PORTS) - self.unknown
+        return [port for port in known if len(self.cluster.targets(port)) > 1]
+
+    def name(self, number):
+        names = sorted(self.cluster.routers)
+        return names[number % len(names)]
+
+    def open(self, first, second):
+        port = PORTS[second % len(PORTS)]
+        now = self.cluster.now
+        if now - self.opened.setdefault(port, now) < REPEAT_SECONDS:
+            self.cluster.send(self.name(first), port, opens=True)
+
+    def middle(self, first, second):
+        port = PORTS[second % len(PORTS)]
+        if self.cluster.targets(port):
+            self.cluster.send(self.name(first), port)
+
+    def deliver(self, first, second):
+        if self.cluster.flying:
+            self.cluster.deliver(first % len(self.cluster.flying))
+
+    def lose(self, first, second):
+        if self.cluster.flying:
+            self.cluster.flying.pop(first % len(self.cluster.flying))
+
+    def double(self, first, second):
+        if self.cluster.flying:
+            self.cluster.flying.append(self.cluster.flying[first % len(self.cluster.flying)])
+
+    def advance(self, first, second):
+        self.cluster.advance(0.002 if first % 2 else 0.1)
+
+    def learn(self, first, second):
+        self.learn_at(self.name(first))
+
+    def learn_at(self, name):
+        if self.learned[name] < len(NEWS):
+            changed = NEWS[self.learned[name]]
+            self.learned[name] += 1
+            self.cluster.change(*changed, to=[name])
+
+    def kill(self, first, second):
+        if self.killed or first % 3:
+            return
+        self.killed = True
+        lost = self.name(second)
+        del self.cluster.routers[lost]
+        self.forget_opens(lost)
+        self.cluster.set_views(list(self.cluster.routers), to=[])
+
+    def forget_opens(self, lost):
+        """Leave out flows that only the lost balancer may know: a repeated open is a new one."""
+        for name, port, opens, _ in self.cluster.log:
+            if name == lost and opens:
+                self.unknown.add(port)
+
+    def join(self, first, second):
+        if self.joined or first % 3:
+            return
+        self.joined = True
+        self.learned["e"] = len(NEWS)
+        self.cluster.start("e")
+        self.cluster.change(*[u for changed in NEWS for u in changed], to=["e"])
+        self.cluster.set_views(list(self.cluster.routers), to=["e"])
+
+    def show(self, first, second):
+        self.cluster.show_views(self.name(first))
+
+
+@settings(max_examples=150)
+@given(ACTIONS)
+def test_lost_late_doubled_and_reordered_messages_break_no_flow(actions):
+    Trial().run(actions)
+
+
+def random_actions(seed):
+    source = random.Random(seed)
+    count = source.choice((60, 150, 400))
+    return [
+        (source.choice(KINDS), source.randrange(1 << 16), source.randrange(1 << 16))
+        for _ in range(count)
+    ]
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_long_sequences_break_no_flow(seed):
+    Trial().run(random_actions(seed))
+
+
+@pytest.mark.parametrize(
+    ("part", "name", "replacement"),
+    [
+        pytest.param(Sync, "_store", lambda *_: None, id="registers-not-taken-over"),
+        pytest.param(Sync, "_recent_for", lambda *_: pack_flows(ORDERS, ()), id="no-recent-opens"),
+        pytest.param(
+            RouterState, "confirmed_floor", lambda *_: 1_000_000, id="owner-does-not-wait"
+        ),
+    ],
+)
+def test_the_sequences_find_a_router_that_skips_a_step(monkeypatch, part, name, replacement):
+    monkeypatch.setattr(part, name, replacement)
+    with pytest.raises(AssertionError):
+        for seed in range(400):
+            Trial().run(random_actions(seed))
--- a/chicorypost/flows/tests/test_handoff.py
+++ b/chicorypost/flows/tests/test_handoff.py
@@ -7,10 +7,12 @@
     LeaseChanged,
     UpstreamId,
     UpstreamState,
+    hash64,
 )
 from chicorypost.flows import DropReason
+from chicorypost.flows._owner import Owner
 from chicorypost.flows.tests.explorer import flows_in_slot
-from chicorypost.flows.tests.fakes import LEASE, ORDERS, Cluster, upstream
+from chicorypost.flows.tests.fakes import LEASE, ORDERS, Cluster, packet, upstream
 
 NAMES = "abcde"
 
@@ -45,9 +47,6 @@
 
 def owners_of(cluster, port):
     state = next(iter(cluster.routers.values())).state
-    from chicorypost.base import hash64
-    from chicorypost.flows.tests.fakes import packet
-
     slots = len(state.services[ORDERS].table.entries)
     return state.owners(ORDERS, hash64(packet(port).flow) % slots)
 
@@ -78,6 +77,39 @@
         assert broken(cluster, older + newer) == []
 
 
+def open_while_the_owner_dies(delivered):
+    """Open flows in a moving slot and kill their owner after some messages have arrived."""
+    cluster, _older, newer = moving_cluster()
+    owner = owners_of(cluster, newer[0])[0]
+    same = [port for port in range(2000, 2200) if owners_of(cluster, port)[0] == owner]
+    entry = next(name for name in NAMES if name not in owners_of(cluster, newer[0]))
+    for port in same:
+        cluster.send(entry, port, opens=True)
+    for _ in range(delivered):
+        cluster.advance(0.01)
+        if cluster.flying:
+            cluster.deliver()
+    cluster.flying = [item for item in cluster.flying if owner not in item[:2]]
+    cluster.kill(owner)
+    cluster.settle()
+    placed = [port for port in same if cluster.targets(port)]
+    send_from_everywhere(cluster, placed)
+    return broken(cluster, placed)
+
+
+@pytest.mark.parametrize("delivered", range(10))
+def test_the_owner_may_die_at_every_step_of_placing_an_open(delivered):
+    assert open_while_the_owner_dies(delivered) == []
+
+
+def test_an_owner_that_answers_before_the_backup_has_stored_breaks_flows(monkeypatch):
+    def answer_at_once(owner, service, slot, flow, upstream, asker, answers, now):
+        answers.setdefault((asker, service), []).append((flow, upstream))
+
+    monkeypatch.setattr(Owner, "_store", answer_at_once)
+    assert any(open_while_the_owner_dies(delivered) for delivered in range(10))
+
+
 def test_losing_owner_and_backup_breaks_only_the_flows_registered_there():
     cluster, older, newer = moving_cluster()
     pair = set(owners_of(cluster, newer[0]))
--- a/chicorypost/flows/tests/test_orders.py
+++ b/chicorypost/flows/tests/test_orders.py
@@ -27,11 +27,11 @@
 @pytest.mark.parametrize(
     ("news", "opens", "names", "everyone_learns", "states"),
     [
-        pytest.param([DRAIN], [2], "ab", True, 1105, id="one-move-everyone-learns"),
-        pytest.param([DRAIN], [1, 1], "ab", False, 2269, id="one-move-two-flows"),
-        pytest.param([DRAIN, JOIN], [1], "ab", False, 1204, id="second-move-during-the-first"),
-        pytest.param([DRAIN, READY], [1], "ab", False, 1031, id="move-back-during-the-first"),
-        pytest.param([DRAIN], [1], "abc", False, 2059, id="one-move-three-balancers"),
+        pytest.param([DRAIN], [2], "ab", True, 1087, id="one-move-everyone-learns"),
+        pytest.param([DRAIN], [1, 1], "ab", False, 2194, id="one-move-two-flows"),
+        pytest.param([DRAIN, JOIN], [1], "ab", False, 1151, id="second-move-during-the-first"),
+        pytest.param([DRAIN, READY], [1], "ab", False, 978, id="move-back-during-the-first"),
+        pytest.param([DRAIN], [1], "abc", False, 1773, id="one-move-three-balancers"),
     ],
 )
 def test_no_order_of_delivery_misdirects_a_packet(news, opens, names, everyone_learns, states):
