--- a/chicorypost/consensus/tests/fakes.py
+++ b/chicorypost/consensus/tests/fakes.py
@@ -9,9 +9,12 @@
 
 from chicorypost.base import InstanceId, Instant, Received, Send, Tick, decode, encode
 from chicorypost.consensus import (
+    AddLearner,
     Apply,
+    ChangeMembership,
     Persist,
     Persisted,
+    PromoteLearner,
     ProposalAccepted,
     ProposalRefused,
     Propose,
@@ -19,6 +22,7 @@
     ReadReady,
     ReadRefused,
     RecoveredState,
+    RemoveMember,
     Replica,
     ReplicaSettings,
     ReplicaStorage,
@@ -322,6 +326,27 @@
         self.commands[proposal] = command
         self.handle(node, Propose(proposal, command))
 
+    def propose_many(self, first, last):
+        for number in range(first, last + 1):
+            self.propose(self.elect(), f"p{number}", b"%d" % number)
+            self.run(0.1)
+
+    def change(self, change):
+        """Ask the leader for a membership change; return the refusal, or None once committed."""
+        proposal = f"change {len(self.accepted) + len(self.refused)}"
+        self.handle(self.elect(), ChangeMembership(proposal, change))
+        self.run(0.5)
+        return self.refused.get(proposal)
+
+    def replace(self, node):
+        """Replace the lost member of a node's instance by the node's new data folder."""
+        instance, generation = node.instance, node.replica.core.identity.generation
+        for member in self.elect().replica.members.members:
+            if member.instance == instance and member.generation != generation:
+                assert self.change(RemoveMember(instance, member.generation)) is None
+        assert self.change(AddLearner(instance, generation)) is None
+        assert self.change(PromoteLearner(instance, generation)) is None
+
     def read(self, node, read):
         self.read_floor[read] = max(self.accepted.values(), default=0)
         self.handle(node, Read(read))
--- a/chicorypost/consensus/tests/test_replica.py
+++ b/chicorypost/consensus/tests/test_replica.py
@@ -132,6 +132,18 @@
     assert driver.replica.applied_index == 1
 
 
+def test_a_replaced_entry_is_not_taken_for_synced():
+    driver = Driver(3)
+    entries = (make_entry(1, 1), make_entry(2, 1))
+    driver.receive(AppendRequest, "c2", 1, 0, 0, entries, 0, term=1)
+    first_write = driver.unsynced
+    driver.receive(AppendRequest, "c3", 1, 1, 1, (make_entry(2, 2),), 2, term=2)
+    driver.give(Persisted(first_write))
+    assert driver.replica.applied_index == 1
+    driver.sync()
+    assert driver.replica.applied_index == 2
+
+
 def test_a_leader_counts_its_own_entry_only_once_it_is_synced():
     driver = Driver(3)
     driver.lead("c2")
