--- a/benchmarks/demo.py
+++ b/benchmarks/demo.py
@@ -151,8 +151,17 @@
         await self.patch(self.first_patch(), 0)
         await cluster.wait_ready(cluster.balancer_instances)
         fabric = await cluster.start_standin("fabric", "benchmarks.standins.fabric", self.fabric())
+        callers = FlowCaller(Endpoint(*fabric["packets"]), self.report.truth)
+        async with trio.open_nursery() as listening:
+            await callers.start(listening)
+            await self.run_under_load(callers, fabric)
+            listening.cancel_scope.cancel()
+        await self.collect()
+
+    async def run_under_load(self, callers: FlowCaller, fabric: Any) -> None:
+        """Let everything happen while flows are open and requests are sent."""
         async with trio.open_nursery() as nursery:
-            await self.start_load(nursery, fabric)
+            await self.start_load(nursery, callers, fabric)
             await trio.sleep(SETTLE_SECONDS)
             await self.race_operators()
             await self.lose_balancer()
@@ -161,7 +170,6 @@
             self.say("close every flow and count")
             self.stop_requests.set()
             self.stop_flows.set()
-        await self.collect()
 
     def fabric(self) -> dict[str, Any]:
         """Return the settings of the stand-in fabric."""
@@ -225,7 +233,7 @@
             "config",
             "patch",
             str(file),
-            "--version",
+            "--expect",
             str(version),
             "--wait",
             "--json",
@@ -238,18 +246,16 @@
             raise RuntimeError(f"patch ended with {code}: {output}{errors}")
         return code
 
-    async def start_load(self, nursery: trio.Nursery, fabric: Any) -> None:
+    async def start_load(self, nursery: trio.Nursery, callers: FlowCaller, fabric: Any) -> None:
         """Open flows and send requests in the background."""
-        truth = self.report.truth
-        callers = FlowCaller(Endpoint(*fabric["packets"]), truth)
-        await callers.start(nursery)
         self.say(f"open {self.flows} flows for each service and send requests")
         for service in self.cluster.shape.services:
             for number in range(self.flows):
                 fill = UPLOAD_FILL_BYTES if number % 4 == 0 else 0
                 nursery.start_soon(callers.run_flow, service, self.stop_flows, fill)
                 await trio.sleep(FLOW_OPENING_SECONDS)
-        requests = RequestCaller(Endpoint(*fabric["requests"]), truth, random.Random(3))
+        endpoint = Endpoint(*fabric["requests"])
+        requests = RequestCaller(endpoint, self.report.truth, random.Random(3))
         for service in self.cluster.shape.services:
             for kind in ("read", "order", "upload"):
                 nursery.start_soon(self.send_requests, requests, service, kind)
