Add the control daemon, the operators' listener and their commands

Cause: replicated log, configuration state and publisher need a process that moves bytes and time, and operators need a way in. Ruled out: forwarding a patch from a follower to the leader (a second way to lose the answer; the commands try each instance, and a resend is safe by its patch id); leadership as soon as the role says so (the state may lack what earlier leaders committed; a read through the quorum confirms it). Change: ControlDaemon with ControlLog and OperatorEndpoint, run_control, ControlSettings; commands control, members, config get, patch, history and wait, status; tests with three real processes. Before: no control process.

--- a/chicorypost/configuration/_publisher.py
+++ b/chicorypost/configuration/_publisher.py
@@ -58,7 +58,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LeadershipChanged(Event):
+class LeadershipChanged(Event, Effect):
     """This control instance leads, or no longer leads, the replicated log."""
 
     leading: bool
--- /dev/null
+++ b/chicorypost/daemons/_control.py
@@ -0,0 +1,235 @@
+"""The control process: replicated log, configuration and operators' listener."""
+
+import functools
+import random
+import time
+from typing import Any
+
+import trio
+
+from chicorypost import __version__
+from chicorypost.base import Effect, Endpoint, Event, Incarnation, message_types
+from chicorypost.configuration import (
+    AdmissionCommitted,
+    ConfigurationPublisher,
+    LeadershipChanged,
+    StateApplied,
+)
+from chicorypost.consensus import (
+    ChangeMembership,
+    Persisted,
+    Propose,
+    Read,
+    RecoveredState,
+    Replica,
+    ReplicaStorage,
+    SnapshotTaken,
+    StorageDamage,
+)
+from chicorypost.daemons._admin import AdminEndpoints
+from chicorypost.daemons._control_api import OperatorEndpoint
+from chicorypost.daemons._control_log import ControlLog, LeadingReplica
+from chicorypost.daemons._control_settings import ControlSettings
+from chicorypost.daemons._engine import Engine, Part
+from chicorypost.daemons._events import STARTED, STOPPED
+from chicorypost.daemons._settings import parse_endpoint
+from chicorypost.daemons._stop import StopControl
+from chicorypost.events import Emit, log_event
+from chicorypost.metrics import ProcessMetrics
+from chicorypost.transport import Hello, HttpServer, PeerNetwork, TlsContexts
+
+CONSENSUS_TAGS = range(100, 200)
+DISTRIBUTION_TAGS = range(210, 300)
+LISTENERS = ("control", "operators", "admin")
+
+
+class ControlDaemon:
+    """One control instance.
+
+    Parameters
+    ----------
+    settings : ControlSettings
+        Checked settings.
+    storage : ReplicaStorage
+        The data folder.
+    recovered : RecoveredState
+        What it held.
+    listeners : dict of str to trio.SocketListener
+        Bound listeners, by name.
+    """
+
+    def __init__(
+        self,
+        settings: ControlSettings,
+        storage: ReplicaStorage,
+        recovered: RecoveredState,
+        listeners: dict[str, trio.SocketListener],
+    ) -> None:
+        self.settings = settings
+        self.listeners = listeners
+        self.metrics = ProcessMetrics()
+        self.engine = Engine(self._send, self.emit, self._execute)
+        self.stop = StopControl(settings.stop_seconds, self.emit)
+        now, source = self.engine.now(), random.Random()
+        replica_settings = _with_founders(settings)
+        self.replica = Replica(replica_settings, settings.id, recovered, source, now)
+        self.publisher = ConfigurationPublisher(settings.distribution, settings.id, source, now)
+        self.log = ControlLog(self.engine, storage)
+        self._add_parts()
+        self.network = self._make_network()
+        self.servers = self._make_servers()
+        self._add_gauges()
+
+    def _add_parts(self) -> None:
+        consensus = (Propose, Read, ChangeMembership, Persisted, SnapshotTaken)
+        published = (StateApplied, AdmissionCommitted, LeadershipChanged)
+        replica, messages = LeadingReplica(self.replica), _messages(CONSENSUS_TAGS)
+        self.engine.add(Part("log", replica, messages, consensus))
+        messages = _messages(DISTRIBUTION_TAGS)
+        self.engine.add(Part("distribution", self.publisher, messages, published))
+
+    def _make_network(self) -> PeerNetwork:
+        settings = self.settings
+        incarnation = Incarnation(time.time_ns() // 1_000_000)
+        own = _endpoint_of(self.listeners["control"])
+        hello = Hello(settings.id, incarnation, settings.data_centre, own)
+        tls = TlsContexts(settings.tls, self.emit)
+        network = PeerNetwork(settings.transport, hello, tls, self.engine.receive, self.emit)
+        for address in (*settings.balancers, *settings.controls):
+            network.learn_address(address.id, parse_endpoint(address.control))
+        return network
+
+    def _make_servers(self) -> dict[str, HttpServer]:
+        settings = self.settings
+        operators = OperatorEndpoint(
+            self.log, self.replica, self.publisher, self.dump, settings.answer_seconds
+        )
+        admin = AdminEndpoints(self.metrics, self.dump, self.not_ready)
+        return {
+            "operators": HttpServer(
+                "operators", settings.operators_http, operators.handle, self.emit
+            ),
+            "admin": HttpServer("admin", settings.admin, admin.handle, self.emit),
+        }
+
+    def _add_gauges(self) -> None:
+        add = self.metrics.add_gauge
+        add("version", "Version of the configuration.", lambda: float(self.log.state.version))
+        add("leading", "1 while this instance leads.", lambda: float(self.publisher.leading))
+        add(
+            "silent_members",
+            "Members of the log that the leader does not hear.",
+            lambda: float(len(self.replica.silent_members)),
+        )
+        add(
+            "out_of_touch",
+            "1 while this instance hears no leader, or as leader no quorum.",
+            lambda: float(self.replica.out_of_touch_since is not None),
+        )
+        add(
+            "silent_data_centres",
+            "Data centres whose relay does not report.",
+            lambda: float(sum(item.silent for item in self.publisher.standings.values())),
+        )
+
+    def _send(self, to: Any, message: Any) -> None:
+        self.network.send(to, message)
+
+    def emit(self, event: Emit) -> None:
+        """Log and count an event."""
+        log_event(event)
+        self.metrics.count_event(event)
+
+    def _execute(self, effect: Effect) -> None:
+        if self.log.execute(effect) or isinstance(effect, Event):
+            return
+        raise AssertionError(f"effect is not known: {effect!r}")
+
+    def not_ready(self) -> str:
+        """Return why this instance can't answer operators, or an empty string."""
+        if self.stop.is_stopping:
+            return "stopping"
+        return "" if self.replica.leader is not None else "no leader"
+
+    def dump(self) -> dict[str, Any]:
+        """Return the whole decision state of this process."""
+        return {
+            "id": self.settings.id,
+            "data_centre": self.settings.data_centre,
+            "program_version": __version__,
+            "ready": self.not_ready() or "ready",
+            "configuration": self.log.state.dump(),
+            **self.engine.dump(),
+        }
+
+    def endpoints(self) -> dict[str, Endpoint]:
+        """Return where each listener is bound."""
+        return {name: _endpoint_of(listener) for name, listener in self.listeners.items()}
+
+    async def run(self) -> None:
+        """Serve until a graceful stop has ended."""
+        self.emit(STARTED.emit(role="control", version=__version__))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.network.run, self.listeners["control"])
+            for name, server in self.servers.items():
+                listeners = [self.listeners[name]]
+                nursery.start_soon(functools.partial(trio.serve_listeners, server.serve, listeners))
+            while self.network.nursery is None:
+                await trio.lowlevel.checkpoint()
+            self.engine.reschedule()
+            nursery.start_soon(self.engine.run_timer)
+            nursery.start_soon(self.stop.run, self.drain, nursery.cancel_scope)
+        cut = self.servers["operators"].in_progress
+        self.emit(STOPPED.emit(cut_requests=cut, graceful=self.stop.graceful))
+
+    async def drain(self) -> None:
+        """Finish the operators' requests that run."""
+        server = self.servers["operators"]
+        server.stop()
+        while server.in_progress:
+            await trio.sleep(0.05)
+
+
+async def open_control(settings: ControlSettings) -> ControlDaemon | StorageDamage:
+    """Bind the listeners, recover the data folder and return the daemon.
+
+    Returns
+    -------
+    ControlDaemon or StorageDamage
+        The daemon, or why the data folder can't be trusted.
+    """
+    settings.data_folder.mkdir(parents=True, exist_ok=True)
+    storage = ReplicaStorage(settings.data_folder)
+    recovered = storage.recover()
+    if isinstance(recovered, StorageDamage):
+        return recovered
+    listeners = {}
+    for name in LISTENERS:
+        endpoint = parse_endpoint(getattr(settings.listen, name))
+        bound = await trio.open_tcp_listeners(endpoint.port, host=endpoint.host)
+        listeners[name] = bound[0]
+    return ControlDaemon(settings, storage, recovered, listeners)
+
+
+async def run_control(settings: ControlSettings) -> StorageDamage | None:
+    """Run a control instance until SIGTERM; return damage of the data folder, if any."""
+    daemon = await open_control(settings)
+    if isinstance(daemon, StorageDamage):
+        return daemon
+    await daemon.run()
+    return None
+
+
+def _with_founders(settings: ControlSettings) -> Any:
+    if settings.replica.founding_members:
+        return settings.replica
+    founders = tuple(address.id for address in settings.controls) or (settings.id,)
+    return settings.replica.model_copy(update={"founding_members": founders})
+
+
+def _endpoint_of(listener: trio.SocketListener) -> Endpoint:
+    return Endpoint(*listener.socket.getsockname()[:2])
+
+
+def _messages(tags: range) -> tuple[Any, ...]:
+    return tuple(cls for cls in message_types() if cls.__struct_config__.tag in tags)
--- /dev/null
+++ b/chicorypost/daemons/tests/control_processes.py
@@ -0,0 +1,140 @@
+"""Starts real control processes for tests, kills and freezes them."""
+
+import json
+import os
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import trio
+import uuid6
+
+from chicorypost.commands._client import OperatorClient
+from chicorypost.transport import ExchangeRequest
+
+OVERALL_SECONDS = 45.0
+POLL_SECONDS = 0.05
+PROGRAM = (
+    "import sys; from pathlib import Path; "
+    "from chicorypost.commands._control import ControlCommand; "
+    "ControlCommand(Path(sys.argv[1]))()"
+)
+
+
+def free_ports(count):
+    sockets = [socket.socket() for _ in range(count)]
+    for item in sockets:
+        item.bind(("127.0.0.1", 0))
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+def wait_for(condition):
+    """Return the first true value of the condition; fail after the overall deadline."""
+    deadline = time.monotonic() + OVERALL_SECONDS
+    while time.monotonic() < deadline:
+        value = condition()
+        if value:
+            return value
+        time.sleep(POLL_SECONDS)
+    raise AssertionError(f"condition is not met within {OVERALL_SECONDS} s")
+
+
+class ControlProcesses:
+    """Three control instances as processes on loopback."""
+
+    def __init__(self, folder, count=3):
+        self.folder = folder
+        self.names = [f"control-{number}" for number in range(count)]
+        ports = free_ports(3 * count)
+        self.control = dict(zip(self.names, ports[:count], strict=True))
+        self.operators = dict(zip(self.names, ports[count : 2 * count], strict=True))
+        self.admin = dict(zip(self.names, ports[2 * count :], strict=True))
+        self.processes = {}
+        for name in self.names:
+            self.write_settings(name)
+            self.start(name)
+
+    def write_settings(self, name):
+        address = "127.0.0.1:{}".format
+        controls = [
+            {"id": other, "data_centre": "gent", "control": address(self.control[other])}
+            for other in self.names
+        ]
+        settings = {
+            "id": name,
+            "data_centre": "gent",
+            "controls": controls,
+            "tls": {"off": True},
+            "listen": {
+                "control": address(self.control[name]),
+                "operators": address(self.operators[name]),
+                "admin": address(self.admin[name]),
+            },
+            "data_folder": str(self.folder / name),
+            "log": {"level": "warning"},
+            "answer_seconds": 2,
+        }
+        (self.folder / f"{name}.json").write_text(json.dumps(settings))
+
+    def start(self, name):
+        command = [sys.executable, "-c", PROGRAM, str(self.folder / f"{name}.json")]
+        self.processes[name] = subprocess.Popen(command, stderr=subprocess.DEVNULL)
+
+    def kill(self, name):
+        process = self.processes.pop(name)
+        process.kill()
+        process.wait()
+
+    def signal(self, name, number):
+        os.kill(self.processes[name].pid, number)
+
+    def empty(self, name):
+        shutil.rmtree(self.folder / name)
+
+    def stop(self):
+        for name in list(self.processes):
+            self.signal(name, signal.SIGCONT)
+            self.kill(name)
+
+    def ask(self, method, target, body=None, headers=(), names=None, seconds=20.0):
+        """Return the first answer of the instances, or None."""
+        servers = [f"http://127.0.0.1:{self.operators[n]}" for n in names or self.names]
+        client = OperatorClient(",".join(servers), total_seconds=seconds)
+        data = b"" if body is None else json.dumps(body).encode()
+        return _run(client, ExchangeRequest(method, target, tuple(headers), data))
+
+    def patch(self, expected, body, patch_id=None, names=None, seconds=20.0):
+        headers = (
+            ("content-type", "application/merge-patch+json"),
+            ("if-match", f'"{expected}"'),
+            ("patch-id", patch_id or str(uuid6.uuid7())),
+            ("from", "ann"),
+        )
+        return self.ask("PATCH", "/v1/config", body, headers, names, seconds)
+
+    def leader(self):
+        """Return the leader, as soon as there is one in touch with a quorum."""
+        return wait_for(self._leader)
+
+    def _leader(self):
+        for name in self.processes:
+            answer = self.ask("GET", "/v1/status", names=[name], seconds=1.0)
+            if answer is None:
+                continue
+            status = json.loads(answer.body)
+            if status["role"] == "leader" and status["out_of_touch"] is None:
+                return name
+        return None
+
+    def status(self, name):
+        return json.loads(self.ask("GET", "/v1/status", names=[name]).body)
+
+
+def _run(client, request):
+    return trio.run(client.send, request)
