--- a/chicorypost/commands/_control.py
+++ b/chicorypost/commands/_control.py
@@ -35,7 +35,11 @@
         if isinstance(settings, list):
             raise cappa.Exit("\n".join(map(str, settings)), code=ExitCode.USAGE)
         configure_logging(settings.log.level, settings.id)
-        damage = trio.run(run_control, settings)
+        try:
+            damage = trio.run(run_control, settings)
+        except BlockingIOError as error:
+            message = f"the data folder {settings.data_folder} is in use by another process"
+            raise cappa.Exit(message, code=ExitCode.REFUSED) from error
         if damage is not None:
             message = (
                 f"the data folder {settings.data_folder} can't be trusted: {damage.kind.value} in "
--- a/chicorypost/configuration/tests/test_configuration_machine.py
+++ b/chicorypost/configuration/tests/test_configuration_machine.py
@@ -12,6 +12,7 @@
 ADDRESSES = ("10.0.0.1:80/tcp", "10.0.0.2:80/tcp")
 SERVICES = ("archive", "ordering", "design")
 SITES = {"gent": 3, "aalst": 2}
+MAX_FLIGHT = 100
 BALANCERS = [f"{site}-{number}" for site, count in SITES.items() for number in range(count)]
 
 
@@ -71,13 +72,14 @@
             self.cluster.deliver_one(keep)
             self.cluster.check_routes()
 
-    @rule(steps=st.integers(1, 12), count=st.integers(0, 12))
-    def run_on(self, steps, count):
-        """Let time pass with leases renewed while some of the messages arrive."""
+    @rule(steps=st.integers(1, 12), share=st.sampled_from((0.2, 0.6, 1.0)))
+    def run_on(self, steps, share):
+        """Let time pass with leases renewed while a share of the messages arrives."""
         for _ in range(steps):
             for site in SITES:
                 self.cluster.renew(site)
-            self.deliver(count, keep=False)
+            self.deliver(int(len(self.cluster.flight) * share), keep=False)
+            del self.cluster.flight[:-MAX_FLIGHT]
             self.cluster.advance(0.1)
 
     @rule(seconds=st.sampled_from((0.6, 3.5)))
