Assemble the command line: control, config, status and members beside the others

Cause: the commands of the control side had landed without a root command. Ruled out: a settings check of its own for control (the common one names every mistake). Change: root command, role control in settings check and schema, exports. Before: chicorypost had no control command. Conclusion: whole command line in one place.

--- a/chicorypost/commands/_control.py
+++ b/chicorypost/commands/_control.py
@@ -11,9 +11,8 @@
 from chicorypost.commands._client import OperatorClient, read_json
 from chicorypost.commands._config import Servers
 from chicorypost.commands._exit import ExitCode
-from chicorypost.daemons._control import run_control
-from chicorypost.daemons._control_settings import ControlSettings
-from chicorypost.daemons._settings import load_settings
+from chicorypost.commands._settings import Role, load_or_exit
+from chicorypost.daemons import ControlSettings, run_control
 from chicorypost.events import configure_logging
 from chicorypost.transport import ExchangeRequest
 
@@ -31,9 +30,8 @@
 
     def __call__(self) -> None:
         """Check the settings, then serve."""
-        settings = load_settings(self.settings, ControlSettings)
-        if isinstance(settings, list):
-            raise cappa.Exit("\n".join(map(str, settings)), code=ExitCode.USAGE)
+        settings = load_or_exit(self.settings, Role.CONTROL)
+        assert isinstance(settings, ControlSettings)
         configure_logging(settings.log.level, settings.id)
         try:
             damage = trio.run(run_control, settings)
--- a/chicorypost/commands/_main.py
+++ b/chicorypost/commands/_main.py
@@ -4,10 +4,13 @@
 
 import cappa
 
+from chicorypost.commands._config import ConfigCommand
+from chicorypost.commands._control import ControlCommand, MembersCommand
 from chicorypost.commands._daemons import BalancerCommand
 from chicorypost.commands._dump import DumpCommand
 from chicorypost.commands._keys import KeysCommand
 from chicorypost.commands._settings import SettingsCommand
+from chicorypost.commands._status import StatusCommand
 
 
 @cappa.command(
@@ -22,7 +25,16 @@
 class RootCommand:
     """The root command."""
 
-    command: cappa.Subcommands[BalancerCommand | DumpCommand | KeysCommand | SettingsCommand]
+    command: cappa.Subcommands[
+        BalancerCommand
+        | ControlCommand
+        | ConfigCommand
+        | StatusCommand
+        | MembersCommand
+        | DumpCommand
+        | KeysCommand
+        | SettingsCommand
+    ]
 
 
 def main() -> None:
--- a/chicorypost/commands/_settings.py
+++ b/chicorypost/commands/_settings.py
@@ -10,17 +10,19 @@
 
 from chicorypost.base import Settings
 from chicorypost.commands._exit import ExitCode
-from chicorypost.daemons import BalancerSettings, load_settings
+from chicorypost.daemons import BalancerSettings, ControlSettings, load_settings
 
 
 class Role(Enum):
     """Which process the settings are for."""
 
     BALANCER = "balancer"
+    CONTROL = "control"
 
 
 SETTINGS_CLASSES: dict[Role, type[Settings]] = {
     Role.BALANCER: BalancerSettings,
+    Role.CONTROL: ControlSettings,
 }
 
 
--- a/chicorypost/daemons/__init__.py
+++ b/chicorypost/daemons/__init__.py
@@ -1,6 +1,8 @@
 """Daemons: move bytes and time between sockets and state machines."""
 
 from chicorypost.daemons._balancer import BalancerDaemon, run_balancer
+from chicorypost.daemons._control import run_control
+from chicorypost.daemons._control_settings import ControlSettings
 from chicorypost.daemons._engine import Engine, Part
 from chicorypost.daemons._packets import PacketForwarder, open_packet_socket
 from chicorypost.daemons._settings import (
@@ -15,6 +17,7 @@
 __all__ = [
     "BalancerDaemon",
     "BalancerSettings",
+    "ControlSettings",
     "Engine",
     "PacketForwarder",
     "Part",
@@ -25,4 +28,5 @@
     "open_packet_socket",
     "parse_endpoint",
     "run_balancer",
+    "run_control",
 ]
--- a/chicorypost/daemons/_balancer_parts.py
+++ b/chicorypost/daemons/_balancer_parts.py
@@ -88,7 +88,12 @@
         answered: tuple[type[Message], ...] = (*_messages(REQUEST_TAGS), DispatchAnswer)
         engine.add(Part("membership", self.gated, membership, (Leave,)))
         engine.add(
-            Part("upstreams", self.directory, _messages(DIRECTORY_TAGS), (Announced, ViewChanged, LeaseChanged))
+            Part(
+                "upstreams",
+                self.directory,
+                _messages(DIRECTORY_TAGS),
+                (Announced, ViewChanged, LeaseChanged),
+            )
         )
         engine.add(Part("flows", self.router, _messages(FLOW_TAGS), (*shared, ReachableChanged)))
         engine.add(Part("dispatch", self.dispatcher, dispatched, (*shared, ExchangeEnded, Drain)))
