Count views by sequence where records are handed over

Ruled out: wall clock, cold start (the losses repeat at each view change), lost transfer messages. Change: View.sequence, set by membership when a view is agreed on and carried in view updates; requests compare View.position. Before: test_new_orders_run_after_a_loss_although_epochs_skip_numbers failed with outcome-unknown. Conclusion: parts that chain views need a number that membership vouches for.

--- a/chicorypost/membership/_records.py
+++ b/chicorypost/membership/_records.py
@@ -117,14 +117,18 @@
 
 
 def change_members(
-    view: View, epoch: Epoch, joined: Iterable[Member], left: Iterable[InstanceId]
+    view: View,
+    epoch: Epoch,
+    sequence: int,
+    joined: Iterable[Member],
+    left: Iterable[InstanceId],
 ) -> View:
     """Return the view that follows from members who joined and left."""
     gone = set(left)
     members = {member.instance: member for member in view.members if member.instance not in gone}
     members.update({member.instance: member for member in joined})
     ordered = tuple(members[name] for name in sorted(members))
-    return View(view.data_centre, epoch, ordered)
+    return View(view.data_centre, epoch, ordered, sequence)
 
 
 def empty_view(data_centre: DataCentreId) -> View:
--- a/chicorypost/requests/_partition.py
+++ b/chicorypost/requests/_partition.py
@@ -105,10 +105,10 @@
 ) -> None:
     """Move a partition to a new view."""
     role = next_role(partition, self_key, former, current)
-    epoch = current.view.epoch
+    epoch = current.view.position
     stayed_loading = partition.role is Role.LOADING and former is not None
     if partition.role is Role.LOADING:
-        partition.idle_to = former.view.epoch if former is not None else partition.idle_to
+        partition.idle_to = former.view.position if former is not None else partition.idle_to
     if role is Role.LOADING and not stayed_loading:
         partition.idle_from = partition.idle_to = NO_EPOCH
     if role is Role.ACTIVE:
--- a/chicorypost/requests/_replicas.py
+++ b/chicorypost/requests/_replicas.py
@@ -88,7 +88,7 @@
         self, former: Placement | None, current: Placement, now: Instant
     ) -> list[Effect]:
         """Take a new view of this data centre."""
-        is_next = former is not None and former.view.epoch + 1 == current.view.epoch
+        is_next = former is not None and former.view.position + 1 == current.view.position
         direct = former if is_next else None
         self.fill.restart()
         self_key = self.context.self_key
--- /dev/null
+++ b/chicorypost/requests/tests/test_view_sequence.py
@@ -0,0 +1,24 @@
+"""Views whose epochs skip numbers: records survive, because views are counted by sequence."""
+
+import msgspec
+
+from chicorypost.base import Epoch
+from chicorypost.requests.tests._world import HOME
+from chicorypost.requests.tests.test_ownership import finish, make_world
+
+SKIPPED_EPOCHS = 8
+
+
+def test_new_orders_run_after_a_loss_although_epochs_skip_numbers():
+    world, key, roles = make_world()
+    view = world.views[HOME]
+    rest = tuple(m for m in view.members if m.instance != roles["owner"])
+    world.crash(roles["owner"])
+    epoch = Epoch(view.epoch + SKIPPED_EPOCHS)
+    world.install(
+        msgspec.structs.replace(view, epoch=epoch, members=rest, sequence=view.position + 1)
+    )
+    call = world.call(roles["entry"], key)
+    finish(world)
+    assert call.outcome == "done"
+    assert world.runs[key] == 1
