Pass packets of moving slots to the owner; measure broken flows beside baselines

Cause: asking the owner for every flow that a balancer has not seen cost more control traffic than the 4 KB/s that a balancer may use: 8,450 bytes/s per balancer while an upstream joins, at 44,371 flows and 3,000 new ones a second, 8% of the packets asked for. Ruled out: longer batches (a balancer asks each other one about 4 times a second, so nothing gathers in 20 ms); pushing every placement to every balancer (10 bytes x 19 for each open). Change: a packet that only the owner can place is passed to it once (`pass_to_owner`, on by default); a balancer that gets a passed packet asks, so no packet circles. Ownership buckets are shared by all services, so a view change ranks members once for each bucket. `benchmarks/flows_broken.py` with four baselines. Conclusion: owners see a hop of the moving slots' traffic in place of control messages.

--- /dev/null
+++ b/benchmarks/flows_broken.py
@@ -0,0 +1,164 @@
+"""Broken flows, imbalance and control bytes for each kind of change, beside the baselines.
+
+Run with ``python -m benchmarks.flows_broken [--small]``; prints one JSON line for each policy,
+deployment and kind of change.
+"""
+
+import argparse
+import json
+import time
+from collections.abc import Callable
+from functools import partial
+
+from benchmarks.flow_policies import POLICIES, Policy
+from benchmarks.flows_trial import (
+    LOSS_DETECTION_SECONDS,
+    NEWS_DELAY_SECONDS,
+    STENCILBAY,
+    VANDERMEULEN,
+    Deployment,
+    Trial,
+)
+from chicorypost.base import Instant, ServiceId, UpstreamId, UpstreamState
+
+WARM_UP_SECONDS = 5.0
+OBSERVED_SECONDS = 15.0
+REPLACEMENT_SECONDS = 4.0
+SMALL_SHARE = 0.05
+
+
+def first_service(trial: Trial) -> str:
+    """Return the name of the first service."""
+    return next(iter(trial.deployment.services))
+
+
+def join_upstream(trial: Trial) -> None:
+    """Add one upstream."""
+    service = first_service(trial)
+    number = trial.deployment.services[service]
+    trial.change((trial.upstream(service, number),))
+    trial.run(OBSERVED_SECONDS)
+
+
+def drain_upstream(trial: Trial) -> None:
+    """Drain one upstream."""
+    trial.change((trial.upstream(first_service(trial), 0, UpstreamState.DRAINING),))
+    trial.run(OBSERVED_SECONDS)
+
+
+def replace_balancers(trial: Trial) -> None:
+    """Replace every balancer, one after another, while an upstream drains."""
+    drain_started = trial.upstream(first_service(trial), 0, UpstreamState.DRAINING)
+    trial.change((drain_started,))
+    trial.run(2.0)
+    for number, name in enumerate(list(trial.places)):
+        trial.add_balancer(f"n{number:02}")
+        trial.run(REPLACEMENT_SECONDS / 2)
+        trial.leave_balancer(name)
+        trial.run(REPLACEMENT_SECONDS / 2)
+
+
+def change_configuration(trial: Trial) -> None:
+    """Add a service; each balancer learns it after its own delay."""
+    services = dict(trial.document.services)
+    spec = services[ServiceId(first_service(trial))].model_copy(update={"addresses": ()})
+    services[ServiceId("new")] = spec
+    document = trial.document.model_copy(update={"services": services})
+    for balancer in trial.places:
+        apply = partial(trial.policy.configure, balancer, document)
+        delay = trial.source.uniform(0, NEWS_DELAY_SECONDS)
+        trial.later(delay, partial(apply, Instant(trial.now + delay)))
+    trial.run(OBSERVED_SECONDS)
+
+
+def lose_one_balancer(trial: Trial) -> None:
+    """Lose one balancer without notice while an upstream drains."""
+    trial.change((trial.upstream(first_service(trial), 0, UpstreamState.DRAINING),))
+    trial.run(5.0)
+    trial.lose_balancer(next(iter(trial.places)), LOSS_DETECTION_SECONDS)
+    trial.run(OBSERVED_SECONDS)
+
+
+def lose_upstream(trial: Trial) -> None:
+    """Lose one upstream without notice."""
+    trial.change((), (UpstreamId(f"{first_service(trial)}-0"),))
+    trial.run(OBSERVED_SECONDS)
+
+
+CHANGES: dict[str, tuple[bool, Callable[[Trial], None]]] = {
+    "upstream-joins": (True, join_upstream),
+    "upstream-drains": (True, drain_upstream),
+    "balancers-replaced": (True, replace_balancers),
+    "configuration-changes": (True, change_configuration),
+    "balancer-lost": (False, lose_one_balancer),
+    "upstream-lost": (False, lose_upstream),
+}
+
+
+def measure(
+    deployment: Deployment, policy_type: type[Policy], change: str, seed: int = 1
+) -> dict[str, object]:
+    """Run one trial and return its figures."""
+    planned, action = CHANGES[change]
+    started = time.process_time()
+    trial = Trial(deployment, policy_type, seed)
+    trial.run(WARM_UP_SECONDS)
+    balance_before = trial.imbalance()
+    policy = trial.policy
+    bytes_before = sum(policy.sent_bytes.values())
+    packets_before, asked_before = policy.packets, policy.asked_packets
+    dropped_before, changed_at = trial.dropped, trial.now
+    action(trial)
+    seconds = trial.now - changed_at
+    sent = sum(policy.sent_bytes.values()) - bytes_before
+    packets = policy.packets - packets_before
+    leaving = UpstreamId(f"{first_service(trial)}-0")
+    drains = change in ("upstream-drains", "balancers-replaced", "balancer-lost")
+    last_new = max(0.0, trial.last_open[leaving] - changed_at) if drains else None
+    return {
+        "benchmark": "flows_broken",
+        "deployment": deployment.name,
+        "policy": policy.name,
+        "change": change,
+        "planned": planned,
+        "seed": seed,
+        "balancers": deployment.balancers,
+        "flows": len(trial.flows),
+        "new_flows_per_second": deployment.new_flows_per_second,
+        "broken_flows": trial.broken,
+        "flows_lost_with_upstream": trial.lost_with_upstream,
+        "dropped_packets": trial.dropped - dropped_before,
+        "packets": packets,
+        "asked_packet_share": round((policy.asked_packets - asked_before) / max(1, packets), 5),
+        "imbalance_before": round(balance_before, 4),
+        "imbalance_after": round(trial.imbalance(), 4),
+        "control_bytes_per_second_per_balancer": round(sent / seconds / deployment.balancers, 1),
+        "seconds_until_leaving_upstream_gets_no_new_flow": last_new and round(last_new, 2),
+        "cpu_seconds": round(time.process_time() - started, 1),
+    }
+
+
+def main() -> None:
+    """Print the figures of every policy, deployment and kind of change."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--small", action="store_true", help="one deployment, a fraction in size")
+    parser.add_argument("--deployment", choices=("vandermeulen", "stencilbay"))
+    parser.add_argument("--policy", choices=[policy.name for policy in POLICIES])
+    parser.add_argument("--change", choices=list(CHANGES))
+    parser.add_argument("--seed", type=int, default=1)
+    arguments = parser.parse_args()
+    deployments = [VANDERMEULEN, STENCILBAY]
+    if arguments.small:
+        deployments = [VANDERMEULEN.scaled(SMALL_SHARE)]
+    for deployment in deployments:
+        if arguments.deployment not in (None, deployment.name):
+            continue
+        for change in [arguments.change] if arguments.change else CHANGES:
+            for policy in POLICIES:
+                if arguments.policy in (None, policy.name):
+                    line = measure(deployment, policy, change, arguments.seed)
+                    print(json.dumps(line), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/chicorypost/flows/_asks.py
+++ b/chicorypost/flows/_asks.py
@@ -132,7 +132,7 @@
         waiting = self.waiting.pop(flow)
         del self.deadlines[flow]
         self.packets -= len(waiting.packets)
-        return ReleaseHeld(waiting.key, decision, tuple(waiting.packets))
+        return ReleaseHeld(waiting.key, decision, tuple(waiting.packets), waiting.hops)
 
     def _question(
         self,
--- a/chicorypost/flows/_coordinator.py
+++ b/chicorypost/flows/_coordinator.py
@@ -161,7 +161,7 @@
         """Apply changes here, send them to every member that can follow, confirm them."""
         state, table = self.state, service.table
         assert table is not None and state.domain is not None
-        before, base = set(table.moving), table.version
+        base = table.version
         for slot, entry in changes.items():
             table.set_entry(slot, entry)
             if entry.phase is SlotPhase.STABLE:
@@ -174,7 +174,7 @@
             for name in state.others()
             if service.confirmed.get(name, NO_TABLE) >= 0
         ]
-        effects.extend(self.sync.confirm(service, table.moving - before, now))
+        effects.extend(self.sync.confirm(service, now))
         return effects
 
     def _repeat(self, service: ServiceState) -> list[Effect]:
--- a/chicorypost/flows/_domain.py
+++ b/chicorypost/flows/_domain.py
@@ -1,6 +1,7 @@
 """The balancers that must agree on a slot before it moves, and who owns what among them."""
 
 from collections.abc import Iterable
+from functools import cache
 
 from chicorypost.base import (
     DataCentreId,
@@ -12,7 +13,7 @@
     rendezvous_rank,
 )
 
-OWNERSHIP_BUCKETS = 128
+OWNERSHIP_BUCKETS = 256
 
 
 class Domain:
@@ -42,29 +43,39 @@
         )
         incarnations = sorted((m.instance, m.incarnation) for m in self.members.values())
         self.number = hash64((text + repr(incarnations)).encode()) >> 1
-        self._pairs: dict[tuple[ServiceId, int], tuple[InstanceId, ...]] = {}
-        self._coordinators: dict[ServiceId, InstanceId] = {}
+        self._pairs: dict[int, tuple[InstanceId, ...]] = {}
 
-    def owners(self, service: ServiceId, bucket: int) -> tuple[InstanceId, ...]:
+    def owners(self, bucket: int) -> tuple[InstanceId, ...]:
         """Return the owner and, where there is one, the backup of an ownership bucket."""
-        pair = self._pairs.get((service, bucket))
+        pair = self._pairs.get(bucket)
         if pair is None:
-            key = f"flows/{service}/{bucket}".encode()
+            key = f"flows/{bucket}".encode()
             ranked = rendezvous_rank(key, (str(name) for name in self.members), 2)
-            pair = tuple(InstanceId(name) for name in ranked)
-            self._pairs[service, bucket] = pair
+            pair = self._pairs[bucket] = tuple(InstanceId(name) for name in ranked)
         return pair
 
+    def buckets_of(self, instance: InstanceId) -> frozenset[int]:
+        """Return the buckets that an instance owns or backs up."""
+        return frozenset(
+            bucket for bucket in range(OWNERSHIP_BUCKETS) if instance in self.owners(bucket)
+        )
+
     def coordinator(self, service: ServiceId) -> InstanceId:
         """Return the member that issues the slot table of a service."""
-        name = self._coordinators.get(service)
-        if name is None:
-            key = f"table/{service}".encode()
-            ranked = rendezvous_rank(key, (str(member) for member in self.members), 1)
-            name = self._coordinators[service] = InstanceId(ranked[0])
-        return name
+        return self.owners(bucket_of(service, 0))[0]
+
+
+def bucket_of(service: ServiceId, slot: int) -> int:
+    """Return the ownership bucket of a slot.
+
+    Notes
+    -----
+    Buckets are shared by all services, so that the ranking of members is worked out once for each
+    bucket and view, however many services there are.
+    """
+    return (_offset(service) + slot) % OWNERSHIP_BUCKETS
 
 
-def bucket_of(slot: int) -> int:
-    """Return the ownership bucket of a slot."""
-    return slot % OWNERSHIP_BUCKETS
+@cache
+def _offset(service: ServiceId) -> int:
+    return hash64(service.encode())
--- a/chicorypost/flows/_interface.py
+++ b/chicorypost/flows/_interface.py
@@ -30,7 +30,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PassTo:
-    """Send the packet to a balancer of the data centre that has the flow's upstream."""
+    """Send the packet to another balancer: the slot's owner, or one beside the upstream."""
 
     member: Member
 
@@ -60,6 +60,7 @@
     flow: FlowKey
     decision: Decision
     packets: tuple[bytes, ...]
+    hops: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/chicorypost/flows/_messages.py
+++ b/chicorypost/flows/_messages.py
@@ -20,13 +20,6 @@
     flows: bytes
 
 
-class PackedBuckets(Record, frozen=True, array_like=True):
-    """Ownership buckets of one service, one byte each."""
-
-    service: ServiceId
-    buckets: bytes
-
-
 class TableVersion(Record, frozen=True, array_like=True):
     """Version and digest of an instance's slot table, and whether it may be used."""
 
@@ -81,11 +74,14 @@
 
 
 class StatePull(Message, frozen=True, array_like=True, tag=404):
-    """Ask a member of a new domain for its tables and for registers that this instance owns."""
+    """Ask a member of a new domain for its tables and the registers of ownership buckets.
+
+    Each wanted bucket is one byte.
+    """
 
     domain: int
     round: int
-    wanted: tuple[PackedBuckets, ...]
+    wanted: bytes
     digests: tuple[TableVersion, ...]
 
 
--- a/chicorypost/flows/_paths.py
+++ b/chicorypost/flows/_paths.py
@@ -35,7 +35,7 @@
             return HELD
         entry = table.entries[flow % len(table.entries)]
         if entry.phase is not SlotPhase.STABLE:
-            return HELD
+            return self._through_owner(service, flow, opens, hops)
         if entry.default is None:
             return HELD if opens else DROPPED[DropReason.NO_UPSTREAM]
         target = state.targets.by_name.get(entry.default)
@@ -50,6 +50,39 @@
             state.cache.put(flow, target.index)
         return decision
 
+    def _through_owner(self, service: ServiceState, flow: int, opens: bool, hops: int) -> Decision:
+        """Find the path of a flow that only the owner of its moving slot can place.
+
+        Notes
+        -----
+        The owner itself looks up packets of flows under way. Another balancer passes the packet on
+        to the owner, or asks it where the packet was passed on before.
+        """
+        state = self.state
+        assert service.table is not None
+        slot = flow % len(service.table.entries)
+        owners = state.owners(service.service, slot)
+        if not owners:
+            return HELD
+        if owners[0] == state.instance:
+            return HELD if opens or not state.synced else self._look_up(service, slot, flow, hops)
+        if hops > 0 or not state.settings.pass_to_owner:
+            return HELD
+        state.counters["passed-to-owner"] += 1
+        return state.pass_to[owners[0]]
+
+    def _look_up(self, service: ServiceState, slot: int, flow: int, hops: int) -> Decision:
+        """Find where a flow of an owned slot belongs."""
+        state = self.state
+        assert service.table is not None
+        name = state.register.get(service.service, slot, flow)
+        name = name or service.table.entries[slot].default
+        target = None if name is None else state.targets.by_name.get(name)
+        if target is None:
+            return HELD
+        state.cache.put(flow, target.index)
+        return self._send_to(target, service, flow, hops)
+
     def _send_to(self, target: Target, service: ServiceState, flow: int, hops: int) -> Decision:
         state = self.state
         if not target.live:
--- a/chicorypost/flows/_router.py
+++ b/chicorypost/flows/_router.py
@@ -316,11 +316,13 @@
 
     def _list_passes(self) -> None:
         self.state.passes.clear()
+        self.state.pass_to.clear()
         if self.state.domain is None:
             return
         for member in self.state.domain.members.values():
             if member.instance != self.state.instance:
-                self.state.passes.setdefault(member.data_centre, []).append(PassTo(member))
+                pass_to = self.state.pass_to[member.instance] = PassTo(member)
+                self.state.passes.setdefault(member.data_centre, []).append(pass_to)
 
     def _upstreams_changed(self, now: Instant) -> None:
         self.state.count_ready()
--- a/chicorypost/flows/_settings.py
+++ b/chicorypost/flows/_settings.py
@@ -21,4 +21,6 @@
     settle_idle_seconds: float = Field(default=900.0, gt=0)
     slow_start_seconds: float = Field(default=30.0, ge=0)
     registered_flows: int = Field(default=200_000, ge=1)
-    max_hops: int = Field(default=2, ge=1, le=8)
+    max_hops: int = Field(default=3, ge=1, le=8)
+    pass_to_owner: bool = True
+    """Whether packets that only the owner can place are passed to it instead of asking it."""
--- a/chicorypost/flows/_state.py
+++ b/chicorypost/flows/_state.py
@@ -99,6 +99,7 @@
         self.domain: Domain | None = None
         self.synced = False
         self.passes: dict[DataCentreId, list[PassTo]] = {}
+        self.pass_to: dict[InstanceId, PassTo] = {}
         self.register = FlowRegister()
         self.recent: deque[RecentOpen] = deque(maxlen=MAX_RECENT_OPENS)
         self.counters: Counter[str] = Counter()
@@ -115,7 +116,7 @@
 
     def owners(self, service: ServiceId, slot: int) -> tuple[InstanceId, ...]:
         """Return the owner and the backup of a slot."""
-        return () if self.domain is None else self.domain.owners(service, bucket_of(slot))
+        return () if self.domain is None else self.domain.owners(bucket_of(service, slot))
 
     def owns(self, service: ServiceId, slot: int) -> bool:
         """Return whether this instance is the owner of a slot."""
--- a/chicorypost/flows/_sync.py
+++ b/chicorypost/flows/_sync.py
@@ -5,12 +5,11 @@
 
 from chicorypost.base import Effect, InstanceId, Instant, Send, ServiceId
 from chicorypost.events import Emit
-from chicorypost.flows._domain import OWNERSHIP_BUCKETS, Domain, bucket_of
+from chicorypost.flows._domain import Domain, bucket_of
 from chicorypost.flows._events import REGISTER_LOST, TABLES_MERGED
 from chicorypost.flows._messages import (
     NO_TABLE,
     WHOLE_TABLE,
-    PackedBuckets,
     PackedFlows,
     StateAnswer,
     StatePull,
@@ -48,6 +47,9 @@
         self.reported: dict[ServiceId, dict[InstanceId, Reported]] = {}
         self.synced_domain: Domain | None = None
         self.retry_at: Instant | None = None
+        self.mine: frozenset[int] = frozenset()
+        self.mine_before: frozenset[int] = frozenset()
+        """Buckets owned or backed up in the current and in the last agreed domain."""
 
     def start(self, now: Instant) -> list[Effect]:
         """Begin a round with every other member of the domain."""
@@ -64,6 +66,9 @@
         if state.domain is None:
             self.retry_at = None
             return []
+        known = self.synced_domain
+        self.mine = state.domain.buckets_of(state.instance)
+        self.mine_before = frozenset() if known is None else known.buckets_of(state.instance)
         if not self.missing:
             return self._complete(now)
         return self.flush(now)
@@ -89,11 +94,10 @@
             for service in state.services.values()
             if service.table is not None
         ]
-        registered = []
-        for wanted in message.wanted:
-            service = state.services.get(wanted.service)
-            if service is not None and service.table is not None:
-                registered.append(_registered_in(state, service, set(wanted.buckets)))
+        wanted = set(message.wanted)
+        registered = [
+            _registered_in(state, service, wanted) for service in state.services.values() if wanted
+        ]
         tables = tuple(self._differing(message.digests))
         answer = StateAnswer(
             message.domain,
@@ -137,7 +141,6 @@
         service = state.services.get(message.service)
         if service is None or not state.in_domain(message.domain):
             return []
-        before = set(service.table.moving) if service.table is not None else set()
         if message.base == WHOLE_TABLE and not service.usable and message.round == self.round:
             service.table = table_from(message)
             service.usable = True
@@ -147,19 +150,23 @@
             return []
         else:
             self._drop_settled(service, service.table.apply(message))
-        started = service.table.moving - before
-        return self.confirm(service, started, now)
+        return self.confirm(service, now)
+
+    def confirm(self, service: ServiceState, now: Instant) -> list[Effect]:
+        """Confirm the table to every member, with the recent opens of the moving slots.
 
-    def confirm(self, service: ServiceState, started: set[int], now: Instant) -> list[Effect]:
-        """Confirm the table to every member, with the recent opens of slots that began to move."""
+        Notes
+        -----
+        An earlier confirmation with the same opens may have been lost, so each carries them all.
+        """
         state = self.state
         assert state.domain is not None
         state.expire_recent(now)
-        recent = state.recent_in(service, started)
-        for opened in recent:
-            state.store(service, opened.flow, opened.upstream)
         if service.table is None:
             return []
+        recent = state.recent_in(service, service.table.moving)
+        for opened in recent:
+            state.store(service, opened.flow, opened.upstream)
         count = len(service.table.entries)
         by_member: dict[InstanceId, list[tuple[int, str]]] = {}
         for opened in recent:
@@ -175,25 +182,21 @@
     def _pull(self, name: InstanceId) -> StatePull:
         state = self.state
         assert state.domain is not None
-        wanted = []
-        digests = []
-        for service in state.services.values():
-            buckets = self._wanted_buckets(service.service, name)
-            if buckets:
-                wanted.append(PackedBuckets(service.service, bytes(buckets)))
-            if state.domain.coordinator(service.service) == state.instance:
-                digests.append(self._version(service))
-        return StatePull(state.domain.number, self.round, tuple(wanted), tuple(digests))
-
-    def _wanted_buckets(self, service: ServiceId, name: InstanceId) -> list[int]:
-        """Return the buckets owned or backed up here whose register this member may add to."""
+        digests = tuple(
+            self._version(service)
+            for service in state.services.values()
+            if state.domain.coordinator(service.service) == state.instance
+        )
+        wanted = bytes(sorted(self._wanted_buckets(name)))
+        return StatePull(state.domain.number, self.round, wanted, digests)
+
+    def _wanted_buckets(self, name: InstanceId) -> frozenset[int]:
+        """Return the buckets owned or backed up here whose register a member may add to."""
         domain, known = self.state.domain, self.synced_domain
         assert domain is not None
-        me = self.state.instance
-        mine = [b for b in range(OWNERSHIP_BUCKETS) if me in domain.owners(service, b)]
         if known is None or known.members.get(name) != domain.members.get(name):
-            return mine
-        return [bucket for bucket in mine if me not in known.owners(service, bucket)]
+            return self.mine
+        return self.mine - self.mine_before
 
     def _version(self, service: ServiceState) -> TableVersion:
         table = service.table
@@ -278,7 +281,7 @@
                 slot
                 for slot in service.table.moving
                 if self.state.owns(service.service, slot)
-                and not set(before.owners(service.service, bucket_of(slot))) & set(after.members)
+                and not set(before.owners(bucket_of(service.service, slot))) & set(after.members)
             ]
             if lost:
                 self.state.counters["slots-with-lost-register"] += len(lost)
@@ -293,12 +296,11 @@
         tables = usable or [report.table for report in reports]
         if not tables:
             return []
-        before = set(service.table.moving) if service.table is not None else set()
         service.usable = True
         service.table, changed = _merge_tables(service.service, tables)
         self._store_early(service)
         self._drop_settled(service, range(len(service.table.entries)))
-        effects = self.confirm(service, service.table.moving - before, now)
+        effects = self.confirm(service, now)
         if changed:
             version = service.table.version
             effects.append(
@@ -330,10 +332,9 @@
 
 
 def _registered_in(state: RouterState, service: ServiceState, buckets: set[int]) -> PackedFlows:
-    assert service.table is not None
     slots = [
         slot
         for name, slot in state.register.slots
-        if name == service.service and bucket_of(slot) in buckets
+        if name == service.service and bucket_of(name, slot) in buckets
     ]
     return pack_flows(service.service, state.register.placements(service.service, slots))
--- a/chicorypost/flows/tests/fakes.py
+++ b/chicorypost/flows/tests/fakes.py
@@ -96,6 +96,7 @@
     """Routers, the messages between them, and what became of every packet."""
 
     def __init__(self, names, upstreams, slots=2, data_centres=None, **settings):
+        settings.setdefault("pass_to_owner", False)
         self.now = Instant(0.0)
         self.settings = FlowSettings(plan_delay_seconds=0, slow_start_seconds=0, **settings)
         self.document = document(slots=slots)
@@ -158,9 +159,9 @@
                     encoded = encode(message)
                     self.sent_bytes += len(encoded)
                     self.flying.append((name, to, decode(encoded)))
-                case ReleaseHeld(_, decision, packets):
+                case ReleaseHeld(_, decision, packets, hops):
                     for data in packets:
-                        self.arrive(name, parse_packet(data), decision)
+                        self.arrive(name, parse_packet(data), decision, hops)
 
     def send(self, name, port, opens=False, hops=0, vip=1):
         """Hand a packet to a router as the fabric does."""
--- a/chicorypost/flows/tests/test_faults.py
+++ b/chicorypost/flows/tests/test_faults.py
@@ -1,17 +1,19 @@
 """Random sequences of packets, news, losses, joins and message faults."""
 
 import random
+from typing import Any
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from chicorypost.base import UpstreamState
+from chicorypost.base import DataCentreId, UpstreamState
 from chicorypost.flows._messages import pack_flows
 from chicorypost.flows._state import RouterState
 from chicorypost.flows._sync import Sync
-from chicorypost.flows.tests.fakes import ORDERS, Cluster, upstream
+from chicorypost.flows.tests.fakes import HOME, ORDERS, Cluster, upstream
 
+AWAY = DataCentreId("aalst")
 PORTS = range(1, 13)
 REPEAT_SECONDS = 5.0
 NEWS = (
@@ -39,9 +41,9 @@
 class Trial:
     """Carries out random actions; at most one balancer is lost."""
 
-    def __init__(self):
+    def __init__(self, **arguments):
         upstreams = [upstream("u1"), upstream("u2"), upstream("u3")]
-        self.cluster = Cluster("abcd", upstreams, slots=6)
+        self.cluster = Cluster("abcd", upstreams, slots=6, **arguments)
         self.learned = dict.fromkeys("abcd", 0)
         self.opened = {}
         self.unknown = set()
@@ -149,9 +151,18 @@
     ]
 
 
-@pytest.mark.parametrize("seed", range(60))
-def test_long_sequences_break_no_flow(seed):
-    Trial().run(random_actions(seed))
+PLACES = {"a": HOME, "b": AWAY, "c": HOME, "d": AWAY, "e": HOME}
+SETUPS: dict[str, dict[str, Any]] = {
+    "ask-the-owner": {},
+    "pass-to-the-owner": {"pass_to_owner": True},
+    "two-data-centres": {"pass_to_owner": True, "data_centres": PLACES},
+}
+
+
+@pytest.mark.parametrize("seed", range(40))
+@pytest.mark.parametrize("setup", SETUPS)
+def test_long_sequences_break_no_flow(seed, setup):
+    Trial(**SETUPS[setup]).run(random_actions(seed))
 
 
 @pytest.mark.parametrize(
