Prove partitions between data centres; measure capacity, alternatives, rolling replacement

Ruled out: dropping every uncached packet during a partition (it would stall flows that were open before); letting a side go on by its own table after healing (kept as a test that it breaks flows).

--- a/benchmarks/flow_policies/__init__.py
+++ b/benchmarks/flow_policies/__init__.py
@@ -1,5 +1,6 @@
 """Ways to choose the upstream of a packet, behind one interface."""
 
+from benchmarks.flow_policies._alternatives import FullReplicationPolicy, TableHistoryPolicy
 from benchmarks.flow_policies._baselines import (
     ConsistentHashPolicy,
     LeastLoadedPolicy,
@@ -15,9 +16,11 @@
     RandomPolicy,
     LeastLoadedPolicy,
 )
-POLICIES: tuple[type[Policy], ...] = (HandoffPolicy, *BASELINES)
+ALTERNATIVES: tuple[type[Policy], ...] = (TableHistoryPolicy, FullReplicationPolicy)
+POLICIES: tuple[type[Policy], ...] = (HandoffPolicy, *BASELINES, *ALTERNATIVES)
 
 __all__ = [
+    "ALTERNATIVES",
     "BASELINES",
     "POLICIES",
     "ConsistentHashPolicy",
--- a/benchmarks/flows_broken.py
+++ b/benchmarks/flows_broken.py
@@ -52,7 +52,7 @@
     trial.change((drain_started,))
     trial.run(2.0)
     for number, name in enumerate(list(trial.places)):
-        trial.add_balancer(f"n{number:02}")
+        trial.add_balancer(f"n{number:02}", trial.places[name])
         trial.run(REPLACEMENT_SECONDS / 2)
         trial.leave_balancer(name)
         trial.run(REPLACEMENT_SECONDS / 2)
--- /dev/null
+++ b/benchmarks/flows_capacity.py
@@ -0,0 +1,202 @@
+"""Processor time, memory and control bytes of flow routing, with slopes by size.
+
+Run with ``python -m benchmarks.flows_capacity [--small]``; prints one JSON line for each figure.
+"""
+
+import argparse
+import gc
+import json
+import random
+import time
+import tracemalloc
+
+from benchmarks.flow_policies import HandoffPolicy
+from chicorypost.base import (
+    Address,
+    DataCentreId,
+    Endpoint,
+    FlowKey,
+    Incarnation,
+    Instant,
+    ServiceId,
+    Upstream,
+    UpstreamId,
+    UpstreamState,
+)
+from chicorypost.configuration import ConfigurationDocument, ServiceSpec, UpstreamSelector
+from chicorypost.flows import ParsedPacket, parse_packet
+
+PLACE = DataCentreId("gent")
+STEP_SECONDS = 0.01
+SETTLE_SECONDS = 4.0
+
+
+class Bench:
+    """Balancers of one data centre with some services."""
+
+    def __init__(self, balancers: int, services: int = 2, upstreams: int = 10) -> None:
+        self.now = Instant(0.0)
+        document = ConfigurationDocument(
+            services={
+                ServiceId(f"s{number}"): ServiceSpec(
+                    addresses=(Address(f"10.1.{number >> 8}.{number & 255}:443/tcp"),),
+                    selector=UpstreamSelector(service=ServiceId(f"s{number}")),
+                )
+                for number in range(services)
+            }
+        )
+        self.policy = HandoffPolicy(document, lambda flow, upstream: None, random.Random(1))
+        self.upstreams = [
+            announce(f"s{service}-{number}", f"s{service}")
+            for service in range(services)
+            for number in range(upstreams)
+        ]
+        self.places = {f"b{number:03}": PLACE for number in range(balancers)}
+        for name in self.places:
+            self.start(name)
+        self.policy.set_members(self.places, self.now)
+        self.settle()
+
+    def start(self, name: str) -> None:
+        """Start one balancer."""
+        self.policy.start(name, PLACE, self.now)
+        self.policy.tell(name, self.upstreams, (), self.now)
+
+    def settle(self) -> None:
+        """Let the balancers agree."""
+        end = self.now + SETTLE_SECONDS
+        while self.now < end:
+            self.now = Instant(self.now + STEP_SECONDS)
+            self.policy.step(self.now)
+
+    def measured(self, action) -> tuple[float, float]:
+        """Return control bytes and processor seconds per balancer of an action."""
+        gc.collect()
+        sent = sum(self.policy.sent_bytes.values())
+        started = time.process_time()
+        action()
+        self.settle()
+        count = len(self.places)
+        used = time.process_time() - started
+        return (sum(self.policy.sent_bytes.values()) - sent) / count, used / count
+
+
+def announce(
+    name: str, service: str, state: UpstreamState = UpstreamState.READY, packets: int = 80
+) -> Upstream:
+    """Return an announcement."""
+    endpoint = Endpoint(name, packets)
+    return Upstream(
+        UpstreamId(name),
+        Incarnation(1),
+        ServiceId(service),
+        PLACE,
+        endpoint,
+        endpoint,
+        3,
+        5000,
+        state,
+    )
+
+
+def flow_packet(number: int, opens: bool = False) -> ParsedPacket:
+    """Return a packet of a numbered flow."""
+    source = (0x0A000000 + number).to_bytes(4, "big")
+    key = FlowKey(b"\x06" + source + bytes((10, 1, 0, 0)) + b"\x30\x39\x01\xbb")
+    return ParsedPacket(key, Address("10.1.0.0:443/tcp"), opens, False, b"")
+
+
+def report(**figures: object) -> None:
+    """Print one line."""
+    print(json.dumps({"benchmark": "flows_capacity", **figures}), flush=True)
+
+
+def measure_packets(count: int) -> None:
+    """Measure parsing and routing of single packets."""
+    bench = Bench(3)
+    router = bench.policy.routers["b000"]
+    packets = [flow_packet(number) for number in range(count)]
+    for name in ("first-packet", "cached-packet"):
+        started = time.process_time()
+        for packet in packets:
+            router.route(packet, bench.now)
+        used = time.process_time() - started
+        report(figure="route", kind=name, packets=count, microseconds=round(used / count * 1e6, 2))
+    data = b"\x45\0\0\x28\0\0\0\0\x40\x06\0\0\x0a\0\0\x01\x0a\x01\0\0\x30\x39\x01\xbb"
+    data += bytes(8) + b"\x50\x10" + bytes(6)
+    started = time.process_time()
+    for _ in range(count):
+        parse_packet(data)
+    used = time.process_time() - started
+    report(figure="parse", packets=count, microseconds=round(used / count * 1e6, 2))
+
+
+def measure_memory(flows: int) -> None:
+    """Measure the flow cache in memory."""
+    bench = Bench(1)
+    router = bench.policy.routers["b000"]
+    gc.collect()
+    tracemalloc.start()
+    for number in range(flows):
+        router.route(flow_packet(number), bench.now)
+    gc.collect()
+    held, peak = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    report(
+        figure="flow-cache",
+        flows=flows,
+        cached=len(router.state.cache),
+        bytes_per_flow=round(held / flows, 1),
+        megabytes=round(held / 2**20, 1),
+        peak_megabytes=round(peak / 2**20, 1),
+    )
+
+
+def measure_changes(balancers: int, services: int) -> None:
+    """Measure a view change and a move for a number of balancers."""
+    bench = Bench(balancers, services)
+    bytes_sent, used = bench.measured(bench.settle)
+    report(
+        figure="idle",
+        balancers=balancers,
+        services=services,
+        bytes_per_second_per_balancer=round(bytes_sent / (2 * SETTLE_SECONDS), 1),
+        cpu_share=round(used / (2 * SETTLE_SECONDS), 5),
+    )
+
+    def join() -> None:
+        bench.places["joiner"] = PLACE
+        bench.start("joiner")
+        bench.policy.set_members(bench.places, bench.now)
+
+    draining = announce("s0-0", "s0", UpstreamState.DRAINING)
+
+    def drain() -> None:
+        for name in bench.places:
+            bench.policy.tell(name, (draining,), (), bench.now)
+
+    for name, action in (("view-change", join), ("upstream-drains", drain)):
+        bytes_sent, used = bench.measured(action)
+        report(
+            figure=name,
+            balancers=balancers,
+            services=services,
+            bytes_per_balancer=round(bytes_sent),
+            cpu_milliseconds_per_balancer=round(used * 1000, 2),
+        )
+
+
+def main() -> None:
+    """Print all figures."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--small", action="store_true", help="fewer balancers and flows")
+    small = parser.parse_args().small
+    measure_packets(20_000 if small else 200_000)
+    measure_memory(30_000 if small else 300_000)
+    sizes = ((5, 2), (10, 2)) if small else ((10, 2), (20, 2), (40, 2), (80, 2), (20, 20))
+    for balancers, services in sizes:
+        measure_changes(balancers, services)
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/flows_trial.py
+++ b/benchmarks/flows_trial.py
@@ -119,7 +119,9 @@
             for number in range(count):
                 self._create(service, number)
         for number in range(self.deployment.balancers):
-            self.add_balancer(f"b{number:02}", views=False)
+            places = self.deployment.data_centres
+            place = DataCentreId(places[number % len(places)])
+            self.add_balancer(f"b{number:02}", place, views=False)
         self.policy.set_members(self.places, self.now)
         self.run(3.0, traffic=False)
         self._fill()
@@ -174,11 +176,10 @@
     ) -> None:
         self.policy.tell(balancer, changed, removed, self.now)
 
-    def add_balancer(self, name: str, views: bool = True) -> None:
+    def add_balancer(self, name: str, place: DataCentreId, views: bool = True) -> None:
         """Start a balancer."""
-        places = self.deployment.data_centres
-        self.places[name] = DataCentreId(places[len(self.places) % len(places)])
-        self.policy.start(name, self.places[name], self.now)
+        self.places[name] = place
+        self.policy.start(name, place, self.now)
         self.policy.tell(name, tuple(self.upstreams.values()), (), self.now)
         if views:
             self.policy.set_members(self.places, self.now)
--- a/chicorypost/flows/_router.py
+++ b/chicorypost/flows/_router.py
@@ -298,12 +298,16 @@
             data_centres=len(domain.data_centres),
         )
         self.asks.reconsider(now)
-        if before is None or not domain.data_centres <= before.data_centres:
+        if self._must_start_over(before, domain):
             return [event, *self._start_over(now)]
         self.owner.adopt_domain(now)
         self.coordinator.adopt_domain(now)
         return [event, *self.sync.start(now)]
 
+    def _must_start_over(self, before: Domain | None, domain: Domain) -> bool:
+        """Return whether slots may have moved without this instance, as in a partition."""
+        return before is None or not domain.data_centres <= before.data_centres
+
     def _build_domain(self) -> Domain | None:
         state = self.state
         views = [
--- /dev/null
+++ b/chicorypost/flows/tests/test_partition.py
@@ -0,0 +1,162 @@
+"""Tests of network partitions between data centres, and of what happens after healing."""
+
+import pytest
+
+from chicorypost.base import DataCentreId, hash64
+from chicorypost.flows import DropReason, FlowRouter, ReachableChanged
+from chicorypost.flows.tests.explorer import flows_in_slot
+from chicorypost.flows.tests.fakes import HOME, ORDERS, Cluster, packet, upstream
+
+AWAY = DataCentreId("aalst")
+SIDES = {HOME: ("a", "b", "c"), AWAY: ("x", "y", "z")}
+PLACES = {name: place for place, names in SIDES.items() for name in names}
+WHOLE = frozenset(SIDES)
+
+
+def two_sides(**settings):
+    upstreams = [upstream("u1"), upstream("u2"), upstream("v1", data_centre=AWAY)]
+    settings.setdefault("pass_to_owner", True)
+    return Cluster("abcxyz", upstreams, slots=12, data_centres=PLACES, **settings)
+
+
+def cut(cluster):
+    """Cut the data centres off; each loses sight of the other's upstreams later."""
+    for name, place in PLACES.items():
+        cluster.tell(name, ReachableChanged(frozenset({place})))
+    cluster.cut = True
+    settle(cluster)
+
+
+def heal(cluster, ports=()):
+    """Heal the partition; packets arrive before any message has crossed."""
+    cluster.cut = False
+    cluster.flying.clear()
+    for name in PLACES:
+        cluster.tell(name, ReachableChanged(WHOLE))
+    for name in PLACES:
+        for port in ports:
+            cluster.send(name, port)
+    settle(cluster)
+
+
+def settle(cluster, rounds=12):
+    for _ in range(rounds):
+        cluster.advance(0.25)
+        while cluster.flying:
+            sender, to, _ = cluster.flying[0]
+            if getattr(cluster, "cut", False) and PLACES[sender] != PLACES[to]:
+                cluster.flying.pop(0)
+            else:
+                cluster.deliver()
+
+
+def slot_default(cluster, name, port):
+    table = cluster.routers[name].state.services[ORDERS].table
+    return table.entries[hash64(packet(port).flow) % len(table.entries)].default
+
+
+@pytest.mark.parametrize("pass_to_owner", [True, False])
+def test_flows_pass_between_data_centres_and_stay_whole_while_slots_move(pass_to_owner):
+    cluster = two_sides(pass_to_owner=pass_to_owner)
+    older, newer = range(1, 40), range(40, 80)
+    for port in older:
+        cluster.send("ax"[port % 2], port, opens=True)
+    cluster.change(upstream("v2", data_centre=AWAY))
+    settle(cluster)
+    for port in newer:
+        cluster.send("by"[port % 2], port, opens=True)
+    settle(cluster)
+    for name in PLACES:
+        for port in (*older, *newer):
+            cluster.send(name, port)
+        settle(cluster, rounds=4)
+    assert [port for port in (*older, *newer) if len(cluster.targets(port)) != 1] == []
+    assert any("v2" in cluster.targets(port) for port in newer)
+    forwarders = {(name, to) for name, _, _, to in cluster.log}
+    assert all(PLACES[name] == (AWAY if to[0] == "v" else HOME) for name, to in forwarders)
+
+
+def test_both_sides_place_new_flows_at_home_and_keep_them_whole_after_healing():
+    cluster = two_sides()
+    older = range(1, 60)
+    for port in older:
+        cluster.send("ax"[port % 2], port, opens=True)
+    cut(cluster)
+    at_home, away = range(100, 140), range(200, 240)
+    for port in at_home:
+        cluster.send("abc"[port % 3], port, opens=True)
+    for port in away:
+        cluster.send("xyz"[port % 3], port, opens=True)
+    settle(cluster)
+    assert all(cluster.targets(port) <= {"u1", "u2"} for port in at_home)
+    assert all(cluster.targets(port) == {"v1"} for port in away)
+    assert all(cluster.targets(port) for port in at_home)
+    flows = (*older, *at_home, *away)
+    heal(cluster, flows)
+    for name in PLACES:
+        for port in flows:
+            cluster.send(name, port)
+        settle(cluster, rounds=4)
+    assert [port for port in flows if len(cluster.targets(port)) != 1] == []
+
+
+def test_a_side_that_forwards_by_its_own_table_after_healing_breaks_flows(monkeypatch):
+    monkeypatch.setattr(FlowRouter, "_must_start_over", lambda *_: False)
+    with pytest.raises(AssertionError):
+        test_both_sides_place_new_flows_at_home_and_keep_them_whole_after_healing()
+
+
+def test_flows_of_the_far_side_are_dropped_and_counted_during_a_partition():
+    cluster = two_sides()
+    far = [port for port in range(1, 80) if slot_default(cluster, "a", port) == "v1"]
+    for port in far:
+        cluster.send("a", port, opens=True)
+    cut(cluster)
+    logged = len(cluster.log)
+    for port in far:
+        cluster.send("a", port)
+    settle(cluster)
+    assert {to for _, _, _, to in cluster.log[logged:]} == {DropReason.UNREACHABLE}
+    counters = [cluster.routers[name].state.counters for name in SIDES[HOME]]
+    assert sum(counter["dropped-unreachable"] for counter in counters) == len(far)
+
+
+def test_the_loss_of_a_far_upstream_from_the_directory_moves_no_default():
+    cluster = two_sides()
+    far = [port for port in range(1, 80) if slot_default(cluster, "a", port) == "v1"]
+    for port in far:
+        cluster.send("x", port, opens=True)
+    cut(cluster)
+    cluster.change(removed=["v1"], to=SIDES[HOME])
+    settle(cluster, rounds=60)
+    assert {slot_default(cluster, "a", port) for port in far} == {"v1"}
+    cluster.change(upstream("v1", data_centre=AWAY), to=SIDES[HOME])
+    heal(cluster)
+    for name in PLACES:
+        for port in far:
+            cluster.send(name, port)
+        settle(cluster, rounds=4)
+    assert all(cluster.targets(port) == {"v1"} for port in far)
+
+
+def test_a_move_under_way_when_the_partition_begins_keeps_flows_whole():
+    cluster = two_sides()
+    older = flows_in_slot(cluster, "u1", 12)
+    for port in older:
+        cluster.send("b", port, opens=True)
+    cluster.change(upstream("v2", data_centre=AWAY))
+    cluster.advance(0.25)
+    for _ in range(4):
+        cluster.deliver()
+    cut(cluster)
+    newer = range(100, 140)
+    for port in newer:
+        cluster.send("abcxyz"[port % 6], port, opens=True)
+    settle(cluster)
+    heal(cluster)
+    for name in PLACES:
+        for port in (*older, *newer):
+            cluster.send(name, port)
+        settle(cluster, rounds=4)
+    assert [port for port in older if cluster.targets(port) != {"u1"}] == []
+    assert [port for port in newer if len(cluster.targets(port)) != 1] == []
