--- a/chicorypost/consensus/_files.py
+++ b/chicorypost/consensus/_files.py
@@ -39,6 +39,9 @@
     def sync_folder(self) -> None:
         """Make the names in the folder durable."""
 
+    def close(self) -> None:
+        """Give the folder free for another process."""
+
 
 class DiskFileSystem:
     """A folder on the disk, locked against a second process.
--- a/chicorypost/consensus/tests/fakes.py
+++ b/chicorypost/consensus/tests/fakes.py
@@ -96,6 +96,9 @@
         self.durable_names = dict(self.inodes)
         self.changes = []
 
+    def close(self):
+        pass
+
     def crash(self, rng):
         """Return the disk after a crash: some of what wasn't synced may have survived, torn."""
         names = dict(self.durable_names)
