--- a/chicorypost/flows/_router.py
+++ b/chicorypost/flows/_router.py
@@ -298,12 +298,16 @@
             data_centres=len(domain.data_centres),
         )
         self.asks.reconsider(now)
-        if before is None or not domain.data_centres <= before.data_centres:
+        if self._must_start_over(before, domain):
             return [event, *self._start_over(now)]
         self.owner.adopt_domain(now)
         self.coordinator.adopt_domain(now)
         return [event, *self.sync.start(now)]
 
+    def _must_start_over(self, before: Domain | None, domain: Domain) -> bool:
+        """Return whether slots may have moved without this instance, as in a partition."""
+        return before is None or not domain.data_centres <= before.data_centres
+
     def _build_domain(self) -> Domain | None:
         state = self.state
         views = [
@@ -316,11 +320,13 @@
 
     def _list_passes(self) -> None:
         self.state.passes.clear()
+        self.state.pass_to.clear()
         if self.state.domain is None:
             return
         for member in self.state.domain.members.values():
             if member.instance != self.state.instance:
-                self.state.passes.setdefault(member.data_centre, []).append(PassTo(member))
+                pass_to = self.state.pass_to[member.instance] = PassTo(member)
+                self.state.passes.setdefault(member.data_centre, []).append(pass_to)
 
     def _upstreams_changed(self, now: Instant) -> None:
         self.state.count_ready()
--- a/chicorypost/flows/_state.py
+++ b/chicorypost/flows/_state.py
@@ -21,7 +21,7 @@
 from chicorypost.flows._messages import NO_TABLE
 from chicorypost.flows._register import FlowRegister
 from chicorypost.flows._settings import FlowSettings
-from chicorypost.flows._table import ServiceTable, SlotEntry, SlotPhase
+from chicorypost.flows._table import ServiceTable, SlotEntry
 from chicorypost.flows._targets import Target, Targets
 
 MAX_RECENT_OPENS = 65_536
@@ -99,6 +99,7 @@
         self.domain: Domain | None = None
         self.synced = False
         self.passes: dict[DataCentreId, list[PassTo]] = {}
+        self.pass_to: dict[InstanceId, PassTo] = {}
         self.register = FlowRegister()
         self.recent: deque[RecentOpen] = deque(maxlen=MAX_RECENT_OPENS)
         self.counters: Counter[str] = Counter()
@@ -115,7 +116,7 @@
 
     def owners(self, service: ServiceId, slot: int) -> tuple[InstanceId, ...]:
         """Return the owner and the backup of a slot."""
-        return () if self.domain is None else self.domain.owners(service, bucket_of(slot))
+        return () if self.domain is None else self.domain.owners(bucket_of(service, slot))
 
     def owns(self, service: ServiceId, slot: int) -> bool:
         """Return whether this instance is the owner of a slot."""
@@ -177,11 +178,14 @@
         ]
 
     def store(self, service: ServiceState, flow: int, upstream: UpstreamId) -> None:
-        """Put a placement into the register unless its slot is known to be stable."""
+        """Put a placement into the register.
+
+        Notes
+        -----
+        The sender may know of a move that this instance does not know yet, so a placement is kept
+        even where the slot is stable here. It goes when an update says that the slot is stable.
+        """
         if service.table is None:
             service.early[flow] = upstream
             return
-        slot = flow % len(service.table.entries)
-        entry = service.entry(slot)
-        if entry is None or entry.phase is not SlotPhase.STABLE:
-            self.register.put(service.service, slot, flow, upstream)
+        self.register.put(service.service, flow % len(service.table.entries), flow, upstream)
