Measure outcomes, amplification, messages and memory of requests

Cause: the promises of requests need figures beside baselines. Ruled out: wall-clock latency in memory (it would measure the test's network). Change: benchmarks/requests_outcomes.py.

--- /dev/null
+++ b/benchmarks/requests_outcomes.py
@@ -0,0 +1,172 @@
+"""Outcomes of orders under single failures, retry amplification, cost of ownership.
+
+Runs the request machines over a network in memory; figures are counts and bytes, not wall time.
+Run with ``python -m benchmarks.requests_outcomes``.
+"""
+
+import copy
+import tracemalloc
+from collections import Counter
+from random import Random
+
+from benchmarks.reporting import report
+from chicorypost.base import (
+    AttemptId,
+    Epoch,
+    Incarnation,
+    InstanceId,
+    Instant,
+    WallTime,
+    decode,
+    encode,
+)
+from chicorypost.requests import make_key
+from chicorypost.requests._messages import KeyRecord, RecordState, RecordUpdate
+from chicorypost.requests._table import RecordTable
+from chicorypost.requests.tests._world import HOME, ORDERS, START_WALL
+from chicorypost.requests.tests.test_correlation import WHOLE, Lone
+from chicorypost.requests.tests.test_crash_points import ROLES, make_base, run_order, single_cases
+from chicorypost.upstreams import DispatchOutcome, HttpResponse
+
+RECORDS = (1_000, 4_000, 16_000)
+ANSWER_BYTES = 200
+FAILURE_SHARE = 0.5
+REQUESTS = 2_000
+RESEND_STEPS = 40
+RETENTION_MS = 86_407_000
+
+
+def measure_outcomes() -> None:
+    """Report the last outcome that the caller of one order heard, per kind of crash."""
+    for role in ROLES:
+        heard: Counter[str] = Counter()
+        runs: Counter[int] = Counter()
+        for case in single_cases():
+            if case[1] == role:
+                world, told = run_order(case)
+                heard[told[-1]] += 1
+                runs[sum(world.runs.values())] += 1
+        cases = sum(heard.values())
+        share = heard["outcome-unknown"] / cases
+        report(
+            "requests_outcomes",
+            crash=role,
+            cases=cases,
+            unknown_share=round(share, 3),
+            outcomes=dict(heard),
+            most_runs=max(runs),
+        )
+
+
+def measure_without_owner() -> None:
+    """Report how often an order runs twice if each balancer decides by itself."""
+    base, _, roles, _ = make_base()
+    twice = 0
+    for steps in range(1, RESEND_STEPS + 1):
+        world = copy.deepcopy(base)
+        # Without an owner the two copies of an order share nothing: neither has a key.
+        first = world.call(roles["entry"], None, target="/status", method="GET")
+        for _ in range(steps):
+            if world.pending:
+                world.step()
+        if first.outcome is None:
+            world.call(roles["runner"], None, target="/status", method="GET")
+        world.sleep(1.0)
+        twice += sum(world.runs.values()) > 1
+    report("requests_without_owner", resend_points=RESEND_STEPS, ran_twice=twice)
+
+
+def measure_amplification(budget: float | None) -> None:
+    """Report attempts per request while a share of the attempts fails."""
+    lone = Lone()
+    random = Random(4)
+    attempts = 0
+    for _ in range(REQUESTS):
+        if budget is None:
+            lone.service.entry.budget.tokens[ORDERS] = 1e9
+        _, attempt = lone.request()
+        while attempt is not None:
+            attempts += 1
+            failed = random.random() < FAILURE_SHARE
+            answer = (
+                (DispatchOutcome.UNKNOWN, None) if failed else (DispatchOutcome.ANSWERED, WHOLE)
+            )
+            attempt = lone.attempt_in(lone.answer(attempt, *answer))
+    report(
+        "requests_amplification",
+        budget=budget,
+        failing_share=FAILURE_SHARE,
+        attempts_per_request=round(attempts / REQUESTS, 3),
+    )
+
+
+def measure_messages() -> None:
+    """Report messages and bytes of one order and of one idempotent request."""
+    base, key, roles, _ = make_base()
+    for kind in ("order", "idempotent"):
+        world = copy.deepcopy(base)
+        before = len(world.sent)
+        if kind == "order":
+            world.call(roles["entry"], key)
+        else:
+            world.call(roles["entry"], None, target="/status", method="GET")
+        world.settle()
+        between = [data for sender, to, data in world.sent[before:] if sender != to]
+        names = Counter(type(decode(data)).__name__ for data in between)
+        report(
+            "requests_messages",
+            kind=kind,
+            messages=len(between),
+            bytes=sum(map(len, between)),
+            types=dict(names),
+        )
+
+
+def measure_memory() -> None:
+    """Report memory and bytes on the wire per record, by slope."""
+    sizes = []
+    for count in RECORDS:
+        tracemalloc.start()
+        table = RecordTable()
+        random = Random(count)
+        wire = 0
+        for number in range(count):
+            key = make_key(HOME, WallTime(START_WALL + number), random)
+            response = HttpResponse(200, (("content-type", "text/plain"),), bytes(ANSWER_BYTES))
+            record = KeyRecord(
+                ORDERS,
+                key,
+                number,
+                (8, number),
+                RecordState.DONE,
+                AttemptId(f"a/1/{number}"),
+                InstanceId("b"),
+                Incarnation(1),
+                response,
+                RETENTION_MS,
+            )
+            wire += len(encode(RecordUpdate(Epoch(8), 1, record)))
+            table.put(record, Instant(0.0))
+        sizes.append((tracemalloc.get_traced_memory()[0], wire))
+        tracemalloc.stop()
+    span = RECORDS[-1] - RECORDS[0]
+    report(
+        "requests_record_slope",
+        answer_bytes=ANSWER_BYTES,
+        memory_per_record=round((sizes[-1][0] - sizes[0][0]) / span),
+        wire_per_record=round((sizes[-1][1] - sizes[0][1]) / span),
+    )
+
+
+def main() -> None:
+    """Run every measurement."""
+    measure_outcomes()
+    measure_without_owner()
+    measure_amplification(0.1)
+    measure_amplification(None)
+    measure_messages()
+    measure_memory()
+
+
+if __name__ == "__main__":
+    main()
