--- a/chicorypost/configuration/_publisher.py
+++ b/chicorypost/configuration/_publisher.py
@@ -189,11 +189,26 @@
             if poll.epoch <= underway.command.epoch:
                 underway.waiting[sender] = poll
             return []
+        admission = self._start_admission(poll.data_centre, poll.epoch, now)
+        admission.waiting[sender] = poll
+        return [ProposeCommand(admission.command)]
+
+    def _start_admission(self, name: DataCentreId, epoch: Epoch, now: Instant) -> Admission:
         token = f"{self.identity}.{self.random.getrandbits(64):x}"
-        command = AdmitDataCentre(poll.data_centre, poll.epoch, token)
         expires = Instant(now + ADMISSION_SECONDS)
-        self.admissions[poll.data_centre] = Admission(command, expires, {sender: poll})
-        return [ProposeCommand(command)]
+        admission = Admission(AdmitDataCentre(name, epoch, token), expires)
+        self.admissions[name] = admission
+        return admission
+
+    def _admit_reporting(self, report: DataCentreReport, now: Instant) -> list[Effect]:
+        """Wait again for a data centre that was forgotten but reports."""
+        name = report.data_centre
+        underway = self.admissions.get(name)
+        if not self.leading or name in self.data_centres:
+            return []
+        if underway is not None and now < underway.expires:
+            return []
+        return [ProposeCommand(self._start_admission(name, report.epoch, now).command)]
 
     def _answer_admitted(self, token: str) -> list[Effect]:
         found = [name for name, kept in self.admissions.items() if kept.command.token == token]
@@ -227,6 +242,7 @@
             standing.names, standing.named_epoch = report.names, report.epoch
         answer = ReportAnswer(standing.named_epoch, self.window.version)
         effects.append(Send(sender, answer))
+        effects += self._admit_reporting(report, now)
         if self.leading and report.version < self.window.version and self.push_at is None:
             change = self.window.answer(report.version, report.digest, PUSH_HEAD)
             effects.append(Send(sender, change))
--- a/chicorypost/configuration/tests/test_publisher.py
+++ b/chicorypost/configuration/tests/test_publisher.py
@@ -19,6 +19,7 @@
 )
 from chicorypost.configuration import (
     AdmissionCommitted,
+    AdmitDataCentre,
     Assignment,
     ClearReleases,
     ConfigurationPublisher,
@@ -113,6 +114,14 @@
     assert sources(admitted) == [AnswerSource.ADMITTED]
 
 
+def test_a_data_centre_that_was_forgotten_but_reports_is_waited_for_again():
+    machine = publisher()
+    machine.handle(StateApplied(Version(5), {}, (HOLD,), {}), NOW)
+    effects = machine.handle(Received(RELAY, report(3, 3, 2)), NOW)
+    assert [type(command) for command in proposals(effects)] == [AdmitDataCentre]
+    assert proposals(machine.handle(Received(RELAY, report(3, 3, 2)), NOW)) == []
+
+
 def test_an_instance_that_does_not_lead_admits_nobody():
     machine = publisher()
     machine.handle(LeadershipChanged(False), NOW)
