--- a/chicorypost/flows/_sync.py
+++ b/chicorypost/flows/_sync.py
@@ -88,7 +88,12 @@
         state = self.state
         if not state.in_domain(message.domain):
             return []
-        versions = tuple(self._version(service) for service in state.services.values())
+        coordinated = {theirs.service for theirs in message.digests}
+        versions = tuple(
+            self._version(service)
+            for service in state.services.values()
+            if service.service in coordinated or _is_moving(service)
+        )
         recent = [
             self._recent_for(service, sender)
             for service in state.services.values()
@@ -331,6 +336,11 @@
     return merged, changed
 
 
+def _is_moving(service: ServiceState) -> bool:
+    """Return whether owners need to know which table version this instance has applied."""
+    return service.table is not None and bool(service.table.moving)
+
+
 def _registered_in(state: RouterState, service: ServiceState, buckets: set[int]) -> PackedFlows:
     slots = [
         slot
