--- a/chicorypost/requests/_settings.py
+++ b/chicorypost/requests/_settings.py
@@ -1,8 +1,13 @@
 """Settings of request ownership and retries."""
 
-from pydantic import Field
+from typing import Self
 
-from chicorypost.base import DataCentreId, Settings
+from pydantic import Field, model_validator
+
+from chicorypost.base import MAX_MESSAGE_BYTES, DataCentreId, Settings
+
+RECORD_OVERHEAD_BYTES = 16_384
+"""Room for the key, the attempt and the headers of one record."""
 
 
 class RequestSettings(Settings):
@@ -45,8 +50,8 @@
         Share of the remaining time after which an idempotent attempt is given up.
     budget_capacity : float, default=10.0
         Retries that successes can save up.
-    copy_records : int, default=256
-        Records in one part of a partition copy.
+    copy_records : int, default=32
+        Records in one part of a partition copy, which must fit into one message with all answers.
     """
 
     data_centres: tuple[DataCentreId, ...] = ()
@@ -66,4 +71,15 @@
     retry_after_seconds: float = Field(default=1.0, gt=0, le=600)
     attempt_share: float = Field(default=0.5, gt=0, le=1)
     budget_capacity: float = Field(default=10.0, ge=0, le=10_000)
-    copy_records: int = Field(default=256, ge=1, le=4096)
+    copy_records: int = Field(default=32, ge=1, le=4096)
+
+    @model_validator(mode="after")
+    def check_copy_size(self) -> Self:
+        """Refuse parts of copies that may not fit into one message."""
+        largest = self.copy_records * (self.max_answer_bytes + RECORD_OVERHEAD_BYTES)
+        if largest > MAX_MESSAGE_BYTES:
+            raise ValueError(
+                f"copy_records with max_answer_bytes is too large: got {largest} bytes,"
+                f" allowed {MAX_MESSAGE_BYTES}"
+            )
+        return self
--- a/chicorypost/requests/tests/test_parts.py
+++ b/chicorypost/requests/tests/test_parts.py
@@ -6,6 +6,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from pydantic import ValidationError
 
 from chicorypost.base import DataCentreId, Epoch, Instant, RequestKey, View, WallTime
 from chicorypost.configuration import IdempotentRule
@@ -13,6 +14,7 @@
     Outcome,
     Reason,
     RequestClass,
+    RequestSettings,
     Verdict,
     classify,
     make_key,
@@ -134,3 +136,9 @@
             alarms.set(key, Instant(float(at)))
             plain[key] = float(at)
         assert alarms.earliest() == min(plain.values(), default=None)
+
+
+def test_a_part_of_a_copy_always_fits_into_one_message():
+    RequestSettings()
+    with pytest.raises(ValidationError, match="too large"):
+        RequestSettings(copy_records=256)
