Take continuity of leases for handing records over, and drop the view's number

Ruled out: keeping both (a number in the view that nothing reads). Conclusion: epochs are only compared, anywhere.

--- a/chicorypost/base/_topology.py
+++ b/chicorypost/base/_topology.py
@@ -38,19 +38,12 @@
 class View(Record, frozen=True, array_like=True):
     """The live balancers of one data centre, as agreed by its grantors.
 
-    Epochs rise but may skip numbers. `sequence` is one more than that of the view that agreed on
-    this one; 0 says that the epochs of the data centre are consecutive themselves.
+    Epochs rise from view to view but may skip numbers: they can only be compared.
     """
 
     data_centre: DataCentreId
     epoch: Epoch
     members: tuple[Member, ...]
-    sequence: int = 0
-
-    @property
-    def position(self) -> int:
-        """The consecutive number of the view: no view lies between two that follow each other."""
-        return self.sequence or self.epoch
 
 
 class UpstreamState(Enum):
--- a/chicorypost/membership/_book.py
+++ b/chicorypost/membership/_book.py
@@ -46,9 +46,8 @@
         names = {member.instance for member in new}
         joined = tuple(m for m in record.view.members if m not in old)
         left = tuple(m.instance for m in before.members if m.instance not in names)
-        sequence = record.view.sequence
         return ViewUpdate(
-            root, data_centre, record.epoch, sequence, before.epoch, joined, left, record.grantors
+            root, data_centre, record.epoch, before.epoch, joined, left, record.grantors
         )
 
     def resolve(self, update: ViewUpdate) -> ViewRecord | None:
@@ -59,7 +58,7 @@
             base = empty_view(update.data_centre)
         if base is None:
             return None
-        view = change_members(base, update.epoch, update.sequence, update.joined, update.left)
+        view = change_members(base, update.epoch, update.joined, update.left)
         return ViewRecord(view, update.grantors)
 
 
@@ -70,7 +69,6 @@
         NO_ROOT,
         view.data_centre,
         view.epoch,
-        view.sequence,
         Epoch(0),
         view.members,
         (),
--- a/chicorypost/membership/_formation.py
+++ b/chicorypost/membership/_formation.py
@@ -90,7 +90,7 @@
             self.postpone(now)
             return None
         members = tuple(self.votes[name] for name in sorted(self.votes))
-        view = View(self.member.data_centre, self.epoch, members, int(self.epoch))
+        view = View(self.member.data_centre, self.epoch, members)
         record = ViewRecord(view, choose_grantors(view, (), self.settings.grantors))
         self.abandon()
         return record
--- a/chicorypost/membership/_messages.py
+++ b/chicorypost/membership/_messages.py
@@ -112,7 +112,6 @@
     root: InstanceId
     data_centre: DataCentreId
     epoch: Epoch
-    sequence: int
     base: Epoch
     joined: tuple[Member, ...]
     left: tuple[InstanceId, ...]
--- a/chicorypost/membership/_records.py
+++ b/chicorypost/membership/_records.py
@@ -119,7 +119,6 @@
 def change_members(
     view: View,
     epoch: Epoch,
-    sequence: int,
     joined: Iterable[Member],
     left: Iterable[InstanceId],
 ) -> View:
@@ -128,7 +127,7 @@
     members = {member.instance: member for member in view.members if member.instance not in gone}
     members.update({member.instance: member for member in joined})
     ordered = tuple(members[name] for name in sorted(members))
-    return View(view.data_centre, epoch, ordered, sequence)
+    return View(view.data_centre, epoch, ordered)
 
 
 def empty_view(data_centre: DataCentreId) -> View:
--- a/chicorypost/membership/_view_changes.py
+++ b/chicorypost/membership/_view_changes.py
@@ -106,7 +106,7 @@
         joined, left = ((), ()) if change is None else (change.joined, change.left)
         place = committed.grantors.index(self.role.me)
         epoch = next_epoch(max(self.role.promised_epoch(), self.known), place)
-        view = change_members(committed.view, epoch, committed.view.position + 1, joined, left)
+        view = change_members(committed.view, epoch, joined, left)
         if not view.members or not same_formation(epoch, committed.epoch):
             return []
         grantors = choose_grantors(view, committed.grantors, self.settings.grantors)
--- a/chicorypost/requests/_context.py
+++ b/chicorypost/requests/_context.py
@@ -81,7 +81,7 @@
     def own_epoch(self) -> Epoch:
         """Return the epoch of this balancer's data centre; -1 before the first view."""
         placement = self.own_placement()
-        return Epoch(-1) if placement is None else Epoch(placement.view.position)
+        return Epoch(-1) if placement is None else placement.view.epoch
 
     def find_owner(self, record: RecordId) -> MemberKey | None:
         """Return the owner of a key as this balancer knows it, or None."""
--- a/chicorypost/requests/_loading.py
+++ b/chicorypost/requests/_loading.py
@@ -74,7 +74,7 @@
 
     def start(self, placement: Placement, partitions: list[Partition]) -> list[Effect]:
         """Begin to load partitions in a new view; loads of the former view are given up."""
-        self.epoch = Epoch(placement.view.position)
+        self.epoch = placement.view.epoch
         self.loads = {}
         own = self.context.self_key[0]
         for held in partitions:
--- a/chicorypost/requests/_partition.py
+++ b/chicorypost/requests/_partition.py
@@ -74,32 +74,7 @@
     former: Placement | None,
     current: Placement,
 ) -> None:
-<<<<<<< HEAD
-    """Move a partition to a new view."""
-    role = next_role(partition, self_key, former, current)
-    epoch = current.view.position
-    stayed_loading = partition.role is Role.LOADING and former is not None
-    if partition.role is Role.LOADING:
-        partition.idle_to = former.view.position if former is not None else partition.idle_to
-    if role is Role.LOADING and not stayed_loading:
-        partition.idle_from = partition.idle_to = NO_EPOCH
-    if role is Role.ACTIVE:
-        same_backup = former is not None and former.backup(partition.number) == current.backup(
-            partition.number
-        )
-        partition.synced = same_backup and partition.synced and partition.role is Role.ACTIVE
-    if role in (Role.ACTIVE, Role.BACKUP):
-        partition.valid_through = epoch
-    if role is Role.LOADING and partition.idle_from == NO_EPOCH:
-        partition.idle_from = epoch
-    partition.role = role
-
-
-def is_complete(best: int, idle: list[tuple[int, int]], epoch: int) -> bool:
-    """Return whether a copy valid through one epoch holds all that was decided before another.
-=======
     """Move a partition to a new view.
->>>>>>> requests
 
     Parameters
     ----------
--- a/chicorypost/requests/_replicas.py
+++ b/chicorypost/requests/_replicas.py
@@ -88,12 +88,7 @@
         self, former: Placement | None, current: Placement, now: Instant
     ) -> list[Effect]:
         """Take a new view of this data centre."""
-<<<<<<< HEAD
-        is_next = former is not None and former.view.position + 1 == current.view.position
-        direct = former if is_next else None
-=======
         direct = None if self.context.has_lapsed else former
->>>>>>> requests
         self.fill.restart()
         self_key = self.context.self_key
         succeeded = []
--- a/chicorypost/requests/tests/test_view_sequence.py
+++ b/chicorypost/requests/tests/test_view_sequence.py
@@ -1,4 +1,4 @@
-"""Views whose epochs skip numbers: records survive, because views are counted by sequence."""
+"""Views whose epochs skip numbers: new orders run, because epochs are only compared."""
 
 import msgspec
 
@@ -15,9 +15,7 @@
     rest = tuple(m for m in view.members if m.instance != roles["owner"])
     world.crash(roles["owner"])
     epoch = Epoch(view.epoch + SKIPPED_EPOCHS)
-    world.install(
-        msgspec.structs.replace(view, epoch=epoch, members=rest, sequence=view.position + 1)
-    )
+    world.install(msgspec.structs.replace(view, epoch=epoch, members=rest))
     call = world.call(roles["entry"], key)
     finish(world)
     assert call.outcome == "done"
