Show that refusals do not end a probation

Cause: a rule switched off for trial (refusals count as nothing) failed no test. Ruled out: nothing to weigh. Change: one test. Before: 0 tests fail with the rule off. After: this one fails with it off. Conclusion: the rule is held.

--- a/chicorypost/upstreams/tests/test_chooser.py
+++ b/chicorypost/upstreams/tests/test_chooser.py
@@ -96,6 +96,13 @@
     assert (chosen(machine)["a"] > 0) == is_used
 
 
+def test_refusals_do_not_end_a_probation():
+    machine = chooser()
+    for outcome in [UNKNOWN] * 5 + [NOT_STARTED] * 9 + [ANSWERED] * 2:
+        machine.observe(answer("a", outcome), LATER)
+    assert machine.ejections.trust("a") == 2 / 3
+
+
 def test_refusals_and_cancelled_requests_eject_nobody():
     machine = chooser()
     for _ in range(50):
