Answer a repeated chunk acknowledgement with nothing while a chunk is under way

Ruled out: dropping repeated replies by sequence (they still show that the member is alive). Before: a_repeated_answer_to_a_chunk... failed with 3 messages under way, not 2. After: 107 tests of this part pass in 33.8 s.

--- a/chicorypost/consensus/_replica.py
+++ b/chicorypost/consensus/_replica.py
@@ -60,9 +60,9 @@
     handle_append,
     handle_append_reply,
     note_answer,
-    send_append,
     send_due,
     send_heartbeats,
+    send_unless_awaiting,
 )
 from chicorypost.consensus._settings import ReplicaSettings
 from chicorypost.consensus._snapshots import handle_chunk, note_chunk_answer, store_snapshot
@@ -181,7 +181,7 @@
                 progress = note_answer(core, message.source, message.sequence)
                 if progress is not None:
                     note_chunk_answer(core, progress, message)
-                    send_append(core, progress)
+                    send_unless_awaiting(core, progress)
             case _:
                 core.foreign_messages += 1
 
--- a/chicorypost/consensus/_replication.py
+++ b/chicorypost/consensus/_replication.py
@@ -101,6 +101,12 @@
     core.send(progress.member.instance, message)
 
 
+def send_unless_awaiting(core: ReplicaCore, progress: Progress) -> None:
+    """Send what a member lacks, unless a message to it is under way already."""
+    if progress.awaiting == 0:
+        send_append(core, progress)
+
+
 def handle_append(core: ReplicaCore, sender: InstanceId, message: AppendRequest) -> None:
     """Take entries from the leader of the current term."""
     if message.term < core.term:
@@ -160,8 +166,8 @@
     if progress.awaiting == message.sequence:
         progress.awaiting = 0
     send_due(core)
-    if not message.matched and progress.awaiting == 0:
-        send_append(core, progress)
+    if not message.matched:
+        send_unless_awaiting(core, progress)
 
 
 def note_answer(core: ReplicaCore, source: str, sequence: int) -> Progress | None:
--- a/chicorypost/consensus/tests/test_membership.py
+++ b/chicorypost/consensus/tests/test_membership.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from chicorypost.base import InstanceId
+from chicorypost.base import InstanceId, decode
 from chicorypost.consensus import (
     AddLearner,
     ChangeMembership,
@@ -185,3 +185,21 @@
 def refusal(driver, change):
     effects = driver.give(ChangeMembership("change", change))
     return next((item.reason for item in effects if isinstance(item, ProposalRefused)), None)
+
+
+def test_a_repeated_answer_to_a_chunk_starts_no_second_stream_of_chunks():
+    cluster = small_snapshots()
+    behind = follower_of(cluster)
+    cluster.isolate(behind.instance)
+    cluster.propose_many(1, 40)
+    leader = cluster.elect()
+    cluster.heal()
+    cluster.now += cluster.settings.heartbeat_seconds
+    cluster.tick(leader)
+    while not isinstance(decode(cluster.in_flight[0][2]), SnapshotReply):
+        cluster.deliver()
+    cluster.in_flight = cluster.in_flight[:1]
+    cluster.deliver(keep=True)
+    assert [to for _, to, _ in cluster.in_flight[1:]] == [behind.instance]
+    cluster.deliver(keep=True)
+    assert len(cluster.in_flight) == 2
