--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Example settings and programs."""
