--- a/chicorypost/daemons/_control_api.py
+++ b/chicorypost/daemons/_control_api.py
@@ -3,11 +3,8 @@
 import functools
 import json
 from collections.abc import Awaitable, Callable
-from dataclasses import asdict
 from typing import Any
 
-import msgspec
-
 from chicorypost.base import DataCentreId, PatchId, Version, encode
 from chicorypost.configuration import (
     ConfigurationPublisher,
@@ -37,6 +34,7 @@
     refused_by_log,
     refused_patch,
 )
+from chicorypost.daemons._named import to_named
 from chicorypost.daemons._wall import MILLISECONDS, wall_ms, wall_text
 from chicorypost.transport import HttpServerRequest, HttpServerResponse
 
@@ -138,16 +136,13 @@
         entries = self.log.state.history[-count:][::-1] if count else []
         return json_response(
             200,
-            [
-                {**msgspec.to_builtins(_named(entry)), "at": wall_text(entry.at_ms)}
-                for entry in entries
-            ],
+            [{**to_named(entry), "at": wall_text(entry.at_ms)} for entry in entries],
         )
 
     async def get_version(self, version: Version, request: HttpServerRequest) -> HttpServerResponse:
         """Return where a version is in force."""
         force = version_force(self.publisher, version, self.log.engine.now())
-        return json_response(200, msgspec.to_builtins(asdict(force)))
+        return json_response(200, to_named(force))
 
     async def get_status(self, request: HttpServerRequest) -> HttpServerResponse:
         """Return members, silent members and what each data centre applies."""
@@ -162,12 +157,12 @@
             "leader": replica.leader,
             "term": replica.term,
             "out_of_touch": self._out_of_touch(),
-            "voters": [msgspec.to_builtins(item) for item in members.voters],
-            "learners": [msgspec.to_builtins(item) for item in members.learners],
+            "voters": to_named(members.voters),
+            "learners": to_named(members.learners),
             "waiting": replica.waiting_members,
             "silent_seconds": silent,
             "version": self.log.state.version,
-            "configuration": msgspec.to_builtins(asdict(force)),
+            "configuration": to_named(force),
         }
         return json_response(200, status)
 
@@ -190,7 +185,7 @@
             return problem(409, refusal.reason.value, title, leader=refusal.leader)
         if waiter.answer is None:
             return outcome_unknown()
-        return json_response(200, {"changed": asdict(change)})
+        return json_response(200, {"changed": to_named(change)})
 
     async def forget_data_centre(
         self, name: DataCentreId, request: HttpServerRequest
@@ -202,7 +197,7 @@
             return refused_by_log(waiter.answer)
         if waiter.outcome is None:
             return outcome_unknown()
-        return json_response(200, asdict(waiter.outcome))
+        return json_response(200, to_named(waiter.outcome))
 
     def _configuration(self, headers: tuple[tuple[str, str], ...]) -> HttpServerResponse:
         state = self.log.state
@@ -225,10 +220,6 @@
         return {"since": wall_text(at_ms), "seconds": round(seconds, 3)}
 
 
-def _named(record: Any) -> dict[str, Any]:
-    return {name: getattr(record, name) for name in record.__struct_fields__}
-
-
 def _author(request: HttpServerRequest) -> str:
     return request.header("from") or UNKNOWN_AUTHOR
 
@@ -270,8 +261,6 @@
 def _patch_response(outcome: PatchAccepted | PatchRefused) -> HttpServerResponse:
     if isinstance(outcome, PatchRefused):
         return refused_patch(outcome)
-    body = msgspec.to_builtins(_named(outcome))
-    body["withheld"] = [msgspec.to_builtins(_named(item)) for item in outcome.withheld]
-    response = json_response(200, body)
+    response = json_response(200, to_named(outcome))
     headers = (*response.headers, ("etag", f'"{outcome.version}"'))
     return HttpServerResponse(200, response.body, headers)
--- a/chicorypost/daemons/tests/test_control_processes.py
+++ b/chicorypost/daemons/tests/test_control_processes.py
@@ -9,6 +9,8 @@
 
 from chicorypost.daemons.tests.control_processes import ControlProcesses, wait_for
 
+pytestmark = pytest.mark.xdist_group("control-processes")
+
 
 def service(number):
     addresses = [f"10.0.{number // 250}.{number % 250}:80/tcp"]
