Pass packets of a balancer that has left its view to the members that are left

Ruled out: keeping the former domain until the process ends (it would confirm moves that it must not take part in any more). Failed first: of 20 opens and 40 flows handed to a balancer that had left, the 20 opens reached no upstream. The rolling replacement was not run again at full size. Conclusion: a planned stop no longer drops what still arrives, as long as the lease lasts.

--- a/chicorypost/flows/_paths.py
+++ b/chicorypost/flows/_paths.py
@@ -28,7 +28,9 @@
             index = state.cache.get(flow)
             if index is not None:
                 return self._send_cached(index, service, flow, hops)
-        elif not service.ready:
+        if state.domain is None:
+            return self._pass_on(flow, hops)
+        if opens and not service.ready:
             return DROPPED[DropReason.NO_UPSTREAM]
         table = service.table
         if table is None or not service.usable:
@@ -57,6 +59,13 @@
             service.direct[index] = decision
         return decision
 
+    def _pass_on(self, flow: int, hops: int) -> Decision:
+        """Pass a packet to any member: this balancer is not, or no longer, in its view."""
+        members = list(self.state.pass_to.values())
+        if not members or hops >= self.state.settings.max_hops:
+            return HELD
+        return members[flow % len(members)]
+
     def _through_owner(self, service: ServiceState, flow: int, opens: bool, hops: int) -> Decision:
         """Find the path of a flow that only the owner of its moving slot can place.
 
--- a/chicorypost/flows/_router.py
+++ b/chicorypost/flows/_router.py
@@ -319,20 +319,14 @@
 
     def _build_domain(self) -> Domain | None:
         state = self.state
-        views = [
-            view
-            for name, view in state.views.items()
-            if state.reachable is None or name in state.reachable
-        ]
-        domain = Domain(views)
+        domain = Domain(state.reachable_views())
         return domain if state.instance in domain.members else None
 
     def _list_passes(self) -> None:
         self.state.passes.clear()
         self.state.pass_to.clear()
-        if self.state.domain is None:
-            return
-        for member in self.state.domain.members.values():
+        members = [m for view in self.state.reachable_views() for m in view.members]
+        for member in members:
             if member.instance != self.state.instance:
                 pass_to = self.state.pass_to[member.instance] = PassTo(member)
                 self.state.passes.setdefault(member.data_centre, []).append(pass_to)
--- a/chicorypost/flows/_state.py
+++ b/chicorypost/flows/_state.py
@@ -106,6 +106,14 @@
         self.recent: deque[RecentOpen] = deque(maxlen=MAX_RECENT_OPENS)
         self.counters: Counter[str] = Counter()
 
+    def reachable_views(self) -> list[View]:
+        """Return the latest views of the data centres that can be reached."""
+        return [
+            view
+            for name, view in self.views.items()
+            if self.reachable is None or name in self.reachable
+        ]
+
     def in_domain(self, number: int) -> bool:
         """Return whether a message's domain is this instance's."""
         return self.domain is not None and self.domain.number == number
--- a/chicorypost/flows/tests/test_handoff.py
+++ b/chicorypost/flows/tests/test_handoff.py
@@ -230,3 +230,19 @@
     assert cluster.log[-1] == ("b", 2, True, DropReason.NO_UPSTREAM)
     assert cluster.targets(2) == set()
     assert cluster.routers["b"].state.counters["dropped-no-upstream"] == 1
+
+
+def test_a_balancer_that_left_the_view_passes_packets_to_the_others():
+    cluster, older, newer = moving_cluster()
+    cluster.set_views([name for name in NAMES if name != "a"], to=NAMES)
+    cluster.settle()
+    cluster.routers["a"].state.cache.clear()
+    logged = len(cluster.log)
+    latest = range(3000, 3020)
+    for port in (*older, *newer):
+        cluster.send("a", port)
+    for port in latest:
+        cluster.send("a", port, opens=True)
+    cluster.settle()
+    assert broken(cluster, (*older, *newer, *latest)) == []
+    assert all(name != "a" for name, _, _, _ in cluster.log[logged:])
