--- a/chicorypost/transport/tests/test_transport.py
+++ b/chicorypost/transport/tests/test_transport.py
@@ -7,6 +7,7 @@
 import trio.testing
 
 from chicorypost.base import DataCentreId, Endpoint, Incarnation, InstanceId, Message
+from chicorypost.events import Emit
 from chicorypost.transport import (
     ExchangeAnswer,
     ExchangeRequest,
@@ -188,3 +189,28 @@
         await cancelled.wait()
 
     http_scenario(handler, use)
+
+
+def test_a_silent_connection_is_closed_and_opened_again():
+    log: list[Emit] = []
+
+    async def scenario(nursery):
+        dialled = trio.Event()
+        connections: list[object] = []
+
+        async def accept_and_stay_silent(stream):
+            connections.append(stream)
+            if len(connections) == 2:
+                dialled.set()
+            await trio.sleep_forever()
+
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        nursery.start_soon(trio.serve_listeners, accept_and_stay_silent, [listener])
+        network = await start_network(nursery, "left", lambda *_: None, log)
+        network.settings = TransportSettings(heartbeat_seconds=0.02, silence_seconds=0.1)
+        network.learn_address(InstanceId("mute"), endpoint_of(listener))
+        network.send(InstanceId("mute"), Note("anyone there?"))
+        await dialled.wait()
+
+    run(scenario)
+    assert ("peer-lost", "silent") in [(e.spec.name, e.fields.get("reason")) for e in log]
