Add one command for all benchmarks with an HTML report against an earlier run

Cause: each benchmark had its own command and nothing compared two runs. Ruled out: a benchmark framework of its own (each line is JSON with its commit). Change: python -m benchmarks [--full] [--output] [--against] [--report]. Before and after: no figures; not run as a whole yet. Conclusion: none beyond that.

--- /dev/null
+++ b/benchmarks/__main__.py
@@ -0,0 +1,117 @@
+"""Runs every benchmark: ``python -m benchmarks [--full] [--output FILE] [--against FILE]``.
+
+Prints the JSON lines of all of them, can keep them in a file, and writes an HTML page that sets
+them beside an earlier file.
+"""
+
+import argparse
+import html
+import json
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+LIMIT_SECONDS = 1200
+SMALL: tuple[tuple[str, ...], ...] = (
+    ("forwarding", "--flows", "20000", "--packets", "40000", "--rounds", "1"),
+    ("requests_path", "--requests", "300"),
+    ("requests_outcomes",),
+    ("flows_broken", "--small"),
+    ("flows_capacity", "--small"),
+    ("dispatch_overload", "--seconds", "5"),
+    ("membership_slopes", "--instances", "7", "20", "--seconds", "5"),
+    ("configuration_bytes",),
+    ("configuration_force", "--patches", "50"),
+    ("consensus_log",),
+)
+FULL: tuple[tuple[str, ...], ...] = (
+    ("forwarding",),
+    ("requests_path", "--requests", "3000"),
+    ("requests_outcomes",),
+    ("flows_broken",),
+    ("flows_capacity",),
+    ("dispatch_overload",),
+    ("membership_drain",),
+    ("membership_slopes", "--instances", "7", "20", "50", "100"),
+    ("configuration_bytes",),
+    ("configuration_slopes",),
+    ("configuration_force",),
+    ("consensus_log",),
+)
+
+
+def run_benchmark(command: tuple[str, ...]) -> list[dict[str, Any]]:
+    """Run one benchmark module and return its JSON lines, or one that says how it failed."""
+    module, *options = command
+    try:
+        done = subprocess.run(
+            [sys.executable, "-m", f"benchmarks.{module}", *options],
+            capture_output=True,
+            text=True,
+            check=False,
+            timeout=LIMIT_SECONDS,
+        )
+    except subprocess.TimeoutExpired:
+        return [{"benchmark": module, "failed": f"not finished within {LIMIT_SECONDS} s"}]
+    lines = [json.loads(line) for line in done.stdout.splitlines() if line.startswith("{")]
+    if done.returncode != 0:
+        lines.append({"benchmark": module, "failed": done.stderr[-500:]})
+    return lines
+
+
+def read_lines(file: Path) -> list[dict[str, Any]]:
+    """Return the JSON lines of an earlier run."""
+    return [json.loads(line) for line in file.read_text(encoding="utf-8").splitlines()]
+
+
+def is_number(value: Any) -> bool:
+    """Return whether a value is a figure that can be compared."""
+    return isinstance(value, int | float) and not isinstance(value, bool)
+
+
+def render_report(lines: list[dict[str, Any]], earlier: list[dict[str, Any]]) -> str:
+    """Return an HTML page with each figure beside that of the earlier run."""
+    rows = []
+    for index, line in enumerate(lines):
+        same = [old for old in earlier if old.get("benchmark") == line.get("benchmark")]
+        position = sum(1 for other in lines[:index] if other["benchmark"] == line["benchmark"])
+        before = same[position] if position < len(same) else {}
+        for name, value in line.items():
+            if name not in ("benchmark", "commit"):
+                old = before.get(name, "")
+                change = (
+                    f"{value / old - 1:+.1%}" if is_number(value) and is_number(old) and old else ""
+                )
+                cells = (line["benchmark"], position + 1, name, value, old, change)
+                rows.append("".join(f"<td>{html.escape(str(cell))}</td>" for cell in cells))
+    head = "<tr><th>benchmark<th>line<th>figure<th>now<th>before<th>change</tr>"
+    body = "".join(f"<tr>{row}</tr>" for row in rows)
+    style = "<style>td,th{padding:2px 8px;text-align:left;border-bottom:1px solid #ddd}</style>"
+    return f"<!doctype html><title>benchmarks</title>{style}<table>{head}{body}</table>"
+
+
+def main() -> int:
+    """Run, print and report; exit with 1 if a benchmark failed."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--full", action="store_true", help="the brief's sizes; takes an hour")
+    parser.add_argument("--output", type=Path, help="keep the JSON lines in this file")
+    parser.add_argument("--against", type=Path, help="JSON lines of an earlier run")
+    parser.add_argument("--report", type=Path, help="write an HTML page")
+    options = parser.parse_args()
+    lines: list[dict[str, Any]] = []
+    for command in FULL if options.full else SMALL:
+        for line in run_benchmark(command):
+            print(json.dumps(line), flush=True)
+            lines.append(line)
+    if options.output:
+        text = "".join(json.dumps(line) + "\n" for line in lines)
+        options.output.write_text(text, encoding="utf-8")
+    if options.report:
+        earlier = read_lines(options.against) if options.against else []
+        options.report.write_text(render_report(lines, earlier), encoding="utf-8")
+    return 1 if any("failed" in line and line["failed"] for line in lines) else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
