--- /dev/null
+++ b/benchmarks/process_costs.py
@@ -0,0 +1,93 @@
+"""Processor time, memory and control bytes of real idle processes, by number of balancers.
+
+``python -m benchmarks.process_costs [--balancers N ...] [--deployment NAME]``
+"""
+
+import argparse
+import statistics
+import tempfile
+from pathlib import Path
+
+import psutil
+import trio
+
+from benchmarks.demo import Demo
+from benchmarks.reporting import report
+from benchmarks.standins.cluster import Cluster, Instance
+from benchmarks.standins.deployments import DEPLOYMENTS, scale_down
+from chicorypost.transport import ExchangeAnswer, ExchangeRequest, exchange_once
+
+SETTLE_SECONDS = 15.0
+SAMPLE_SECONDS = 10.0
+SENT_METRIC = "chicorypost_peer_bytes_sent "
+
+
+async def read_sent_bytes(instance: Instance) -> float:
+    """Return how many bytes a balancer has sent to other instances."""
+    request = ExchangeRequest("GET", "/metrics")
+    answer = await exchange_once(instance.endpoint("admin"), request, 1_000_000)
+    assert isinstance(answer, ExchangeAnswer)
+    lines = answer.body.decode().splitlines()
+    return float(next(line for line in lines if line.startswith(SENT_METRIC)).split()[1])
+
+
+async def sample(cluster: Cluster, instances: list[Instance]) -> dict[str, float]:
+    """Return processor share, memory and sent bytes of some processes over the sample time."""
+    processes = [psutil.Process(cluster.children[item.id].process.pid) for item in instances]
+    has_bytes = "packets" in instances[0].ports
+    sent = [await read_sent_bytes(item) if has_bytes else 0.0 for item in instances]
+    spent = [sum(process.cpu_times()[:2]) for process in processes]
+    await trio.sleep(SAMPLE_SECONDS)
+    shares = [
+        100 * (sum(process.cpu_times()[:2]) - before) / SAMPLE_SECONDS
+        for process, before in zip(processes, spent, strict=True)
+    ]
+    memory = [process.memory_info().rss / 1e6 for process in processes]
+    rates = [
+        ((await read_sent_bytes(item) if has_bytes else 0.0) - before) / SAMPLE_SECONDS
+        for item, before in zip(instances, sent, strict=True)
+    ]
+    return {
+        "core_percent_mean": round(statistics.mean(shares), 2),
+        "core_percent_max": round(max(shares), 2),
+        "megabytes_max": round(max(memory), 1),
+        "sent_bytes_per_second_mean": round(statistics.mean(rates)),
+        "sent_bytes_per_second_max": round(max(rates)),
+    }
+
+
+async def measure(deployment: str, balancers: int, folder: Path) -> None:
+    """Start a deployment, let it settle and report what its processes cost."""
+    full = DEPLOYMENTS[deployment]
+    shape = scale_down(full, balancers, len(full.data_centres))
+    with Cluster(shape, folder) as cluster:
+        demo = Demo(cluster, 0)
+        demo.started = trio.current_time()
+        cluster.plan()
+        for instance in (*cluster.control_instances, *cluster.balancer_instances):
+            cluster.start_instance(instance)
+        await demo.start_upstreams()
+        await demo.patch(demo.first_patch(), 0)
+        await cluster.wait_ready(cluster.balancer_instances)
+        await trio.sleep(SETTLE_SECONDS)
+        for role, instances in (
+            ("balancer", cluster.balancer_instances),
+            ("control", cluster.control_instances),
+        ):
+            figures = await sample(cluster, instances)
+            report("process_costs", role=role, balancers=balancers, **figures)
+
+
+def main() -> None:
+    """Measure each size in a temporary folder."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--deployment", choices=sorted(DEPLOYMENTS), default="vandermeulen")
+    parser.add_argument("--balancers", type=int, nargs="+", default=[6, 12, 21])
+    options = parser.parse_args()
+    for balancers in options.balancers:
+        with tempfile.TemporaryDirectory() as folder:
+            trio.run(measure, options.deployment, balancers, Path(folder))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/chicorypost/daemons/tests/test_fuzzing.py
@@ -0,0 +1,76 @@
+"""Arbitrary input to the listeners: refused as a value, never an exception."""
+
+import json
+
+import trio
+import trio.testing
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from chicorypost.base import DataCentreId, InstanceId, Instant
+from chicorypost.daemons import Engine
+from chicorypost.daemons._announcements import PATH, AnnouncementEndpoint
+from chicorypost.transport import HttpServer, HttpServerRequest, HttpServerResponse, HttpSettings
+from chicorypost.upstreams import DirectorySettings, UpstreamDirectory
+
+GOOD = {
+    "upstream": "u1",
+    "incarnation": 1,
+    "service": "ordering",
+    "data_centre": "gent-1",
+    "packets": ["127.0.0.1", 1],
+    "requests": ["127.0.0.1", 2],
+    "slots": 3,
+    "connections": 10,
+    "state": "ready",
+    "valid_for_seconds": 3.0,
+}
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=True) | st.text(max_size=5),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=5), inner),
+    max_leaves=5,
+)
+
+
+def announce(body: bytes) -> int:
+    """Return the status that an announcement gets."""
+    engine = Engine(lambda *_: None, lambda _: None, lambda _: None, lambda: 0.0)
+    home = DataCentreId("gent-1")
+    directory = UpstreamDirectory(DirectorySettings(), InstanceId("balancer-1"), home, Instant(0.0))
+    endpoint = AnnouncementEndpoint(engine, directory)
+    request = HttpServerRequest("POST", PATH, (), body)
+    return trio.run(endpoint.handle, request).status
+
+
+def test_a_good_announcement_is_taken():
+    assert announce(json.dumps(GOOD).encode()) == 200
+
+
+@settings(max_examples=60)
+@given(st.binary(max_size=200))
+def test_an_announcement_of_arbitrary_bytes_is_refused(body):
+    assert announce(body) == 400
+
+
+@settings(max_examples=100)
+@given(st.sampled_from(sorted(GOOD)), JSON)
+def test_a_wrong_field_of_an_announcement_never_raises(field, value):
+    assert announce(json.dumps({**GOOD, field: value}).encode()) in (200, 400, 409)
+
+
+@settings(max_examples=100)
+@given(st.binary(max_size=300), st.booleans())
+def test_arbitrary_bytes_never_end_an_http_listener(data, with_head):
+    async def answer(request):
+        return HttpServerResponse(200, b"ok")
+
+    async def serve():
+        caller, listener = trio.testing.memory_stream_pair()
+        server = HttpServer("fuzzed", HttpSettings(), answer, lambda _: None)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(server.serve, listener)
+            await caller.send_all((b"POST / HTTP/1.1\r\n" if with_head else b"") + data)
+            await caller.send_stream.aclose()
+        assert server.open_connections == 0
+
+    trio.run(serve)
--- /dev/null
+++ b/tests/test_golden_sessions.py
@@ -0,0 +1,100 @@
+"""Golden files of whole sessions: every effect, byte for byte.
+
+Refresh them with ``CHICORYPOST_REFRESH_GOLDEN=1 scripts/test tests/test_golden_sessions.py``.
+"""
+
+import os
+from pathlib import Path
+
+import pytest
+
+from chicorypost.flows.tests import fakes
+from chicorypost.requests.tests import _world
+
+GOLDEN = Path(__file__).parent / "golden"
+REFRESH = "CHICORYPOST_REFRESH_GOLDEN"
+
+
+class RecordedWorld(_world.World):
+    """Request machines that write down what each is told and what callers hear."""
+
+    def __init__(self, *args, **kwargs):
+        self.lines: list[str] = []
+        super().__init__(*args, **kwargs)
+
+    def tell(self, name, event):
+        self.lines.append(f"{self.now:.2f} {name} is told {event!r}")
+        super().tell(name, event)
+
+    def respond(self, ticket, response):
+        self.lines.append(f"{self.now:.2f} caller {ticket} hears {response!r}")
+        super().respond(ticket, response)
+
+
+class RecordedRouters(fakes.Cluster):
+    """Flow routers that write down every effect and the path of every packet."""
+
+    def __init__(self, *args, **kwargs):
+        self.lines: list[str] = []
+        super().__init__(*args, **kwargs)
+
+    def carry_out(self, name, effects):
+        effects = list(effects)
+        self.lines += [f"{self.now:.2f} {name}: {effect!r}" for effect in effects]
+        super().carry_out(name, effects)
+
+    def arrive(self, name, given, decision, hops=0):
+        self.lines.append(f"{self.now:.2f} {name} packet {given.flow.hex()}: {decision!r}")
+        super().arrive(name, given, decision, hops)
+
+
+def play_order_resent_through_a_death():
+    """An order runs, its owner dies before the answer, the resend gets the one answer."""
+    world = RecordedWorld("abcde")
+    key, roles = world.find_roles()
+    world.lines.clear()
+    first = world.call(roles["entry"], key)
+    for _ in range(6):
+        world.step()
+    world.crash(roles["owner"])
+    world.sleep(4.0)
+    second = world.call(roles["entry"], key)
+    world.sleep(12.0)
+    assert (first.outcome, second.outcome) == ("done", "done")
+    assert world.runs[key] == 1
+    return world.lines
+
+
+def play_fitting_with_a_balancer_replaced():
+    """A preview runs while its upstream drains and a balancer is replaced."""
+    routers = RecordedRouters(["a", "b", "c"], [fakes.upstream("u1"), fakes.upstream("u2")])
+    routers.lines.clear()
+    for port in (1, 2):
+        routers.send("a", port, opens=True)
+    routers.change(fakes.upstream("u1", state=fakes.UpstreamState.DRAINING))
+    routers.settle()
+    routers.start("d")
+    routers.set_views(["b", "c", "d"])
+    routers.settle()
+    for name in "bcd":
+        for port in (1, 2):
+            routers.send(name, port)
+    routers.settle()
+    ends = {(port, to) for _, port, _, to in routers.log}
+    assert len(ends) == 2, ends
+    return routers.lines
+
+
+SESSIONS = {
+    "order-resent-through-a-death": play_order_resent_through_a_death,
+    "fitting-with-a-balancer-replaced": play_fitting_with_a_balancer_replaced,
+}
+
+
+@pytest.mark.parametrize("name", SESSIONS)
+def test_a_session_equals_its_golden_file(name):
+    played = "\n".join(SESSIONS[name]()) + "\n"
+    file = GOLDEN / f"{name}.txt"
+    if os.environ.get(REFRESH):
+        file.write_text(played, encoding="utf-8")
+    assert played == file.read_text(encoding="utf-8")
