--- a/benchmarks/forwarding.py
+++ b/benchmarks/forwarding.py
@@ -192,7 +192,9 @@
     parser.add_argument("--rounds", type=int, default=3)
     options = parser.parse_args()
     process = psutil.Process()
+    before_packets = process.memory_info().rss
     packets = make_packets(options.flows)
+    packet_bytes = process.memory_info().rss - before_packets
     sink = open_packet_socket(Endpoint("0.0.0.0", 0))
     forwarder, counts = make_forwarder(sink.getsockname()[1])
     before = process.memory_info().rss
@@ -210,7 +212,7 @@
             ratio=round(ours / bare, 3),
             ratio_target=0.5,
             bytes_per_known_flow=round(flow_bytes),
-            resident_megabytes=round(process.memory_info().rss / 1e6, 1),
+            resident_megabytes=round((process.memory_info().rss - packet_bytes) / 1e6, 1),
             not_forwarded=sum(counts.values()),
         )
 
--- a/chicorypost/commands/_control.py
+++ b/chicorypost/commands/_control.py
@@ -6,10 +6,10 @@
 from typing import Annotated
 
 import cappa
-import trio
 
 from chicorypost.commands._client import OperatorClient, read_json
 from chicorypost.commands._config import Servers
+from chicorypost.commands._daemons import run_or_exit
 from chicorypost.commands._exit import ExitCode
 from chicorypost.commands._settings import Role, load_or_exit
 from chicorypost.daemons import ControlSettings, run_control
@@ -34,7 +34,7 @@
         assert isinstance(settings, ControlSettings)
         configure_logging(settings.log.level, settings.id)
         try:
-            damage = trio.run(run_control, settings)
+            damage = run_or_exit(run_control, settings)
         except BlockingIOError as error:
             message = f"the data folder {settings.data_folder} is in use by another process"
             raise cappa.Exit(message, code=ExitCode.REFUSED) from error
--- a/chicorypost/commands/_daemons.py
+++ b/chicorypost/commands/_daemons.py
@@ -1,16 +1,36 @@
 """``chicorypost balancer``: run the process."""
 
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, TypeVar
 
 import cappa
 import trio
 
+from chicorypost.commands._exit import ExitCode
 from chicorypost.commands._settings import Role, load_or_exit
 from chicorypost.daemons import BalancerSettings, run_balancer
 from chicorypost.events import configure_logging
 
+AnySettings = TypeVar("AnySettings")
+Result = TypeVar("Result")
+
+
+def run_or_exit(main: Callable[[AnySettings], Awaitable[Result]], settings: AnySettings) -> Result:
+    """Run a daemon; what the system refuses it, such as a port in use, ends the command.
+
+    Raises
+    ------
+    cappa.Exit
+        If a listener, certificate or folder can't be used.
+    """
+    try:
+        return trio.run(main, settings)
+    except OSError as error:
+        message = f"can't start: {error}; check listen, tls and folders in the settings"
+        raise cappa.Exit(message, code=ExitCode.REFUSED) from error
+
 
 @cappa.command(
     name="balancer",
@@ -28,4 +48,4 @@
         settings = load_or_exit(self.settings, Role.BALANCER)
         assert isinstance(settings, BalancerSettings)
         configure_logging(settings.log.level, settings.id)
-        trio.run(run_balancer, settings)
+        run_or_exit(run_balancer, settings)
--- a/chicorypost/transport/_settings.py
+++ b/chicorypost/transport/_settings.py
@@ -42,9 +42,9 @@
 
     Parameters
     ----------
-    heartbeat_seconds : float, default 0.5
+    heartbeat_seconds : float, default 1.0
         Interval of heartbeats on each connection.
-    silence_seconds : float, default 2.0
+    silence_seconds : float, default 3.0
         A connection on which nothing arrives for this long is closed and replaced.
     dial_seconds : float, default 1.0
         Limit for opening a connection.
@@ -56,8 +56,8 @@
         Connections accepted by one listener at a time.
     """
 
-    heartbeat_seconds: float = Field(default=0.5, gt=0, le=60)
-    silence_seconds: float = Field(default=2.0, gt=0, le=300)
+    heartbeat_seconds: float = Field(default=1.0, gt=0, le=60)
+    silence_seconds: float = Field(default=3.0, gt=0, le=300)
     dial_seconds: float = Field(default=1.0, gt=0, le=60)
     redial_seconds: float = Field(default=0.25, gt=0, le=60)
     queue_messages: int = Field(default=2048, ge=1)
