Ask only the machine that was told something for its next deadline

Cause: an idle balancer among 21 cost 4.47 % of a core (budget 3.7 %); by profile about a tenth was asking all six machines for their deadlines after each event, and each later deadline woke the timer. Ruled out: slower ticks (leases and batches need them). Change: the engine keeps each machine's deadline and asks again only after an event; the timer is woken for an earlier time alone.

--- a/chicorypost/daemons/_engine.py
+++ b/chicorypost/daemons/_engine.py
@@ -83,6 +83,7 @@
         self.execute = execute
         self.clock = clock
         self.parts: list[Part] = []
+        self.deadlines: dict[str, Instant | None] = {}
         self.queue: deque[Event] = deque()
         self.is_running = False
         self.wake_at: Instant | None = None
@@ -95,6 +96,7 @@
     def add(self, part: Part) -> None:
         """Add a state machine; events are given to machines in the order of adding."""
         self.parts.append(part)
+        self.deadlines[part.name] = part.machine.next_deadline()
 
     def post(self, event: Event) -> None:
         """Tell the machines of an event and carry out what follows from it."""
@@ -120,12 +122,18 @@
                 self._deliver(self.queue.popleft())
         finally:
             self.is_running = False
-        self.reschedule()
+        self._wake_at_earliest()
 
     def _deliver(self, event: Event) -> None:
         for part in self.parts:
             if part.takes(event):
-                self.carry_out(part.machine.handle(event, self.now()))
+                self._tell(part, event)
+
+    def _tell(self, part: Part, event: Event) -> None:
+        effects = part.machine.handle(event, self.now())
+        # Only a machine that was told something can want another time.
+        self.deadlines[part.name] = part.machine.next_deadline()
+        self.carry_out(effects)
 
     def _carry_out_one(self, effect: Effect) -> None:
         match effect:
@@ -140,11 +148,18 @@
                 self.execute(effect)
 
     def reschedule(self) -> None:
-        """Look at the machines' deadlines again and wake the timer when one is earlier."""
-        deadlines = [part.machine.next_deadline() for part in self.parts]
-        earliest = min((deadline for deadline in deadlines if deadline is not None), default=None)
-        if earliest != self.wake_at:
-            self.wake_at = earliest
+        """Look at all deadlines again, after a machine was used in another way than by events."""
+        for part in self.parts:
+            self.deadlines[part.name] = part.machine.next_deadline()
+        self._wake_at_earliest()
+
+    def _wake_at_earliest(self) -> None:
+        known = (deadline for deadline in self.deadlines.values() if deadline is not None)
+        earliest = min(known, default=None)
+        is_earlier = earliest is not None and (self.wake_at is None or earliest < self.wake_at)
+        self.wake_at = earliest
+        # A later time needs no wake-up: the timer looks at it again when the former one comes.
+        if is_earlier:
             self.wake.set()
 
     async def run_timer(self) -> None:
@@ -164,9 +179,9 @@
     def tick(self) -> None:
         """Tell every machine whose deadline has come that time has passed."""
         for part in self.parts:
-            deadline = part.machine.next_deadline()
+            deadline = self.deadlines[part.name]
             if deadline is not None and deadline <= self.now():
-                self.carry_out(part.machine.handle(Tick(), self.now()))
+                self._tell(part, Tick())
         self._drain()
 
     def dump(self) -> dict[str, Any]:
