Share listeners and message ranges between the two daemons

Cause: both daemons had their own way to open a listener, to name its endpoint and to pick message types by tag. Ruled out: a common base class of the daemons (they share no more than this). Change: daemons/_listeners.py, messages_in beside Part. Conclusion: one place for each.

--- a/chicorypost/daemons/_balancer.py
+++ b/chicorypost/daemons/_balancer.py
@@ -28,6 +28,7 @@
 from chicorypost.daemons._engine import Engine
 from chicorypost.daemons._events import STARTED, STOPPED
 from chicorypost.daemons._exchanges import UpstreamExchanges
+from chicorypost.daemons._listeners import endpoint_of, open_listener
 from chicorypost.daemons._packets import PacketForwarder, open_packet_socket
 from chicorypost.daemons._settings import BalancerSettings, parse_endpoint
 from chicorypost.daemons._stop import StopControl
@@ -98,7 +99,7 @@
 
     def _make_member(self, incarnation: Incarnation, packet_socket: socket.socket) -> Member:
         settings = self.settings
-        control = _endpoint_of(self.listeners["control"])
+        control = endpoint_of(self.listeners["control"])
         packets = Endpoint(*packet_socket.getsockname()[:2])
         return Member(settings.id, incarnation, settings.data_centre, control, packets)
 
@@ -205,7 +206,7 @@
 
     def endpoints(self) -> dict[str, Endpoint]:
         """Return where each listener is bound."""
-        bound = {name: _endpoint_of(listener) for name, listener in self.listeners.items()}
+        bound = {name: endpoint_of(listener) for name, listener in self.listeners.items()}
         return {**bound, "packets": self.packets.endpoint}
 
     async def run(self) -> None:
@@ -261,17 +262,6 @@
         await trio.sleep(AFTER_LEAVING_SECONDS)
 
 
-def _endpoint_of(listener: trio.SocketListener) -> Endpoint:
-    host, port = listener.socket.getsockname()[:2]
-    return Endpoint(host, port)
-
-
-async def _listen(text: str) -> trio.SocketListener:
-    endpoint = parse_endpoint(text)
-    (listener,) = await trio.open_tcp_listeners(endpoint.port, host=endpoint.host)
-    return listener
-
-
 async def run_balancer(settings: BalancerSettings) -> None:
     """Run a balancer until it is stopped.
 
@@ -283,9 +273,9 @@
     listen = settings.listen
     daemon = BalancerDaemon(
         settings,
-        await _listen(listen.control),
-        await _listen(listen.requests),
-        await _listen(listen.announcements),
-        await _listen(listen.admin),
+        await open_listener(listen.control),
+        await open_listener(listen.requests),
+        await open_listener(listen.announcements),
+        await open_listener(listen.admin),
     )
     await daemon.run()
--- a/chicorypost/daemons/_balancer_parts.py
+++ b/chicorypost/daemons/_balancer_parts.py
@@ -13,10 +13,9 @@
     UpstreamsChanged,
     ViewChanged,
     WallTime,
-    message_types,
 )
 from chicorypost.configuration import ConfigurationApplied, ConfigurationFollower, GatedMembership
-from chicorypost.daemons._engine import Engine, Part
+from chicorypost.daemons._engine import Engine, Part, messages_in
 from chicorypost.daemons._settings import BalancerSettings, InstanceAddress, parse_endpoint
 from chicorypost.flows import FlowRouter, ReachableChanged
 from chicorypost.membership import Leave, Membership
@@ -83,19 +82,19 @@
     def add_to(self, engine: Engine) -> None:
         """Add the machines to an engine."""
         shared = (ViewChanged, LeaseChanged, ConfigurationApplied, UpstreamsChanged)
-        membership = (*_messages(MEMBERSHIP_TAGS), *_messages(CONFIGURATION_TAGS))
-        dispatched = _messages(DISPATCH_TAGS, but=DispatchAnswer)
-        answered: tuple[type[Message], ...] = (*_messages(REQUEST_TAGS), DispatchAnswer)
+        membership = (*messages_in(MEMBERSHIP_TAGS), *messages_in(CONFIGURATION_TAGS))
+        dispatched = tuple(cls for cls in messages_in(DISPATCH_TAGS) if cls is not DispatchAnswer)
+        answered: tuple[type[Message], ...] = (*messages_in(REQUEST_TAGS), DispatchAnswer)
         engine.add(Part("membership", self.gated, membership, (Leave,)))
         engine.add(
             Part(
                 "upstreams",
                 self.directory,
-                _messages(DIRECTORY_TAGS),
+                messages_in(DIRECTORY_TAGS),
                 (Announced, ViewChanged, LeaseChanged),
             )
         )
-        engine.add(Part("flows", self.router, _messages(FLOW_TAGS), (*shared, ReachableChanged)))
+        engine.add(Part("flows", self.router, messages_in(FLOW_TAGS), (*shared, ReachableChanged)))
         engine.add(Part("dispatch", self.dispatcher, dispatched, (*shared, ExchangeEnded, Drain)))
         engine.add(
             Part(
@@ -131,8 +130,3 @@
     control = parse_endpoint(address.control)
     packets = parse_endpoint(address.packets or address.control)
     return Member(address.id, Incarnation(0), address.data_centre, control, packets)
-
-
-def _messages(tags: range, but: type[Message] | None = None) -> tuple[type[Message], ...]:
-    types = [cls for cls in message_types() if cls.__struct_config__.tag in tags]
-    return tuple(cls for cls in types if cls is not but)
--- a/chicorypost/daemons/_control.py
+++ b/chicorypost/daemons/_control.py
@@ -8,7 +8,7 @@
 import trio
 
 from chicorypost import __version__
-from chicorypost.base import Effect, Endpoint, Event, Incarnation, message_types
+from chicorypost.base import Effect, Endpoint, Event, Incarnation
 from chicorypost.configuration import (
     AdmissionCommitted,
     ConfigurationPublisher,
@@ -30,8 +30,9 @@
 from chicorypost.daemons._control_api import OperatorEndpoint
 from chicorypost.daemons._control_log import ControlLog, LeadingReplica
 from chicorypost.daemons._control_settings import ControlSettings
-from chicorypost.daemons._engine import Engine, Part
+from chicorypost.daemons._engine import Engine, Part, messages_in
 from chicorypost.daemons._events import STARTED, STOPPED
+from chicorypost.daemons._listeners import endpoint_of, open_listener
 from chicorypost.daemons._settings import parse_endpoint
 from chicorypost.daemons._stop import StopControl
 from chicorypost.events import Emit, log_event
@@ -83,15 +84,15 @@
     def _add_parts(self) -> None:
         consensus = (Propose, Read, ChangeMembership, Persisted, SnapshotTaken)
         published = (StateApplied, AdmissionCommitted, LeadershipChanged)
-        replica, messages = LeadingReplica(self.replica), _messages(CONSENSUS_TAGS)
+        replica, messages = LeadingReplica(self.replica), messages_in(CONSENSUS_TAGS)
         self.engine.add(Part("log", replica, messages, consensus))
-        messages = _messages(DISTRIBUTION_TAGS)
+        messages = messages_in(DISTRIBUTION_TAGS)
         self.engine.add(Part("distribution", self.publisher, messages, published))
 
     def _make_network(self) -> PeerNetwork:
         settings = self.settings
         incarnation = Incarnation(time.time_ns() // 1_000_000)
-        own = _endpoint_of(self.listeners["control"])
+        own = endpoint_of(self.listeners["control"])
         hello = Hello(settings.id, incarnation, settings.data_centre, own)
         tls = TlsContexts(settings.tls, self.emit)
         network = PeerNetwork(settings.transport, hello, tls, self.engine.receive, self.emit)
@@ -169,7 +170,7 @@
 
     def endpoints(self) -> dict[str, Endpoint]:
         """Return where each listener is bound."""
-        return {name: _endpoint_of(listener) for name, listener in self.listeners.items()}
+        return {name: endpoint_of(listener) for name, listener in self.listeners.items()}
 
     async def run(self) -> None:
         """Serve until a graceful stop has ended."""
@@ -210,9 +211,7 @@
         return recovered
     listeners = {}
     for name in LISTENERS:
-        endpoint = parse_endpoint(getattr(settings.listen, name))
-        bound = await trio.open_tcp_listeners(endpoint.port, host=endpoint.host)
-        listeners[name] = bound[0]
+        listeners[name] = await open_listener(getattr(settings.listen, name))
     return ControlDaemon(settings, storage, recovered, listeners)
 
 
@@ -230,11 +229,3 @@
         return settings.replica
     founders = tuple(address.id for address in settings.controls) or (settings.id,)
     return settings.replica.model_copy(update={"founding_members": founders})
-
-
-def _endpoint_of(listener: trio.SocketListener) -> Endpoint:
-    return Endpoint(*listener.socket.getsockname()[:2])
-
-
-def _messages(tags: range) -> tuple[Any, ...]:
-    return tuple(cls for cls in message_types() if cls.__struct_config__.tag in tags)
--- a/chicorypost/daemons/_engine.py
+++ b/chicorypost/daemons/_engine.py
@@ -17,6 +17,7 @@
     Send,
     StateMachine,
     Tick,
+    message_types,
 )
 from chicorypost.events import Emit
 
@@ -51,6 +52,11 @@
         return isinstance(event, self.events)
 
 
+def messages_in(tags: range) -> tuple[type[Message], ...]:
+    """Return the message types whose tag lies in a range."""
+    return tuple(cls for cls in message_types() if cls.__struct_config__.tag in tags)
+
+
 class Engine:
     """Runs the state machines of one process.
 
