Await signals and open the peer network before a daemon says that it serves

Cause: a daemon logged started before it had asked for SIGTERM: a signal in between ended it at once without a graceful stop. A message could also be sent before the network had its nursery. Change: both daemons start the signal task and the network with nursery.start, then log started. Conclusion: started now means that a graceful stop is possible.

--- a/chicorypost/daemons/_balancer.py
+++ b/chicorypost/daemons/_balancer.py
@@ -211,10 +211,11 @@
 
     async def run(self) -> None:
         """Serve until a graceful stop has ended."""
-        self.emit(STARTED.emit(role="balancer", version=__version__))
         async with trio.open_nursery() as nursery:
+            await nursery.start(self.stop.run, self.drain, nursery.cancel_scope)
+            await nursery.start(self.network.run, self.listeners["control"])
+            self.emit(STARTED.emit(role="balancer", version=__version__))
             self.exchanges.nursery = nursery
-            nursery.start_soon(self.network.run, self.listeners["control"])
             for name, server in self.servers.items():
                 serve = functools.partial(
                     trio.serve_listeners, server.serve, [self.listeners[name]]
@@ -222,7 +223,6 @@
                 nursery.start_soon(serve)
             nursery.start_soon(self.packets.run)
             nursery.start_soon(self.engine.run_timer)
-            nursery.start_soon(self.stop.run, self.drain, nursery.cancel_scope)
             nursery.start_soon(self._observe_surroundings)
         cut = self.servers["requests"].in_progress
         self.emit(STOPPED.emit(cut_requests=cut, graceful=self.stop.graceful))
--- a/chicorypost/daemons/_control.py
+++ b/chicorypost/daemons/_control.py
@@ -174,17 +174,15 @@
 
     async def run(self) -> None:
         """Serve until a graceful stop has ended."""
-        self.emit(STARTED.emit(role="control", version=__version__))
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.network.run, self.listeners["control"])
+            await nursery.start(self.stop.run, self.drain, nursery.cancel_scope)
+            await nursery.start(self.network.run, self.listeners["control"])
+            self.emit(STARTED.emit(role="control", version=__version__))
             for name, server in self.servers.items():
                 listeners = [self.listeners[name]]
                 nursery.start_soon(functools.partial(trio.serve_listeners, server.serve, listeners))
-            while self.network.nursery is None:
-                await trio.lowlevel.checkpoint()
             self.engine.reschedule()
             nursery.start_soon(self.engine.run_timer)
-            nursery.start_soon(self.stop.run, self.drain, nursery.cancel_scope)
         cut = self.servers["operators"].in_progress
         self.emit(STOPPED.emit(cut_requests=cut, graceful=self.stop.graceful))
 
--- a/chicorypost/daemons/_stop.py
+++ b/chicorypost/daemons/_stop.py
@@ -38,9 +38,19 @@
         """Whether a stop has begun."""
         return self.deadline is not None
 
-    async def run(self, drain: Callable[[], Awaitable[None]], scope: trio.CancelScope) -> None:
-        """Wait for a signal, drain within the limit, then cancel the scope."""
+    async def run(
+        self,
+        drain: Callable[[], Awaitable[None]],
+        scope: trio.CancelScope,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Wait for a signal, drain within the limit, then cancel the scope.
+
+        Started by `trio.Nursery.start`, so that a signal is awaited before the process says that
+        it serves.
+        """
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            task_status.started()
             number = await anext(aiter(signals))
             self.deadline = trio.current_time() + self.limit_seconds
             name = signal.Signals(number).name
--- a/chicorypost/transport/_peers.py
+++ b/chicorypost/transport/_peers.py
@@ -95,10 +95,15 @@
         self.nursery.start_soon(self._keep_link, link)
         return link
 
-    async def run(self, listener: trio.SocketListener) -> None:
-        """Accept and dial connections until cancelled."""
+    async def run(
+        self,
+        listener: trio.SocketListener,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Accept and dial connections until cancelled; `send` may be called once it has started."""
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
+            task_status.started()
             await trio.serve_listeners(self._accept, [listener], handler_nursery=nursery)
 
     async def _keep_link(self, link: PeerLink) -> None:
