Ask only the flow router for its deadline after a batch of packets

Cause: on a reread, each batch of packets still asked all six machines for their deadlines; the catalogue listed an event that nothing logs (settings-refused: the command prints the mistakes); a constant stood for None. Ruled out: leaving it to the timer (packets that are held need their deadline at once). Change: Engine.refresh of one part, used by the packet path; the dead event and constant are gone. Conclusion: the gain in a whole process is not measured.

--- a/chicorypost/daemons/_balancer_parts.py
+++ b/chicorypost/daemons/_balancer_parts.py
@@ -16,6 +16,7 @@
 )
 from chicorypost.configuration import ConfigurationApplied, ConfigurationFollower, GatedMembership
 from chicorypost.daemons._engine import Engine, Part, messages_in
+from chicorypost.daemons._packets import FLOWS_PART
 from chicorypost.daemons._settings import BalancerSettings, InstanceAddress, parse_endpoint
 from chicorypost.flows import FlowRouter, ReachableChanged
 from chicorypost.membership import Leave, Membership
@@ -94,7 +95,9 @@
                 (Announced, ViewChanged, LeaseChanged),
             )
         )
-        engine.add(Part("flows", self.router, messages_in(FLOW_TAGS), (*shared, ReachableChanged)))
+        engine.add(
+            Part(FLOWS_PART, self.router, messages_in(FLOW_TAGS), (*shared, ReachableChanged))
+        )
         engine.add(Part("dispatch", self.dispatcher, dispatched, (*shared, ExchangeEnded, Drain)))
         engine.add(
             Part(
--- a/chicorypost/daemons/_engine.py
+++ b/chicorypost/daemons/_engine.py
@@ -159,6 +159,12 @@
             self.deadlines[part.name] = part.machine.next_deadline()
         self._wake_at_earliest()
 
+    def refresh(self, name: str) -> None:
+        """Look at the deadline of one part again, after it was used without an event."""
+        machine = next(part.machine for part in self.parts if part.name == name)
+        self.deadlines[name] = machine.next_deadline()
+        self._wake_at_earliest()
+
     def _wake_at_earliest(self) -> None:
         known = (deadline for deadline in self.deadlines.values() if deadline is not None)
         earliest = min(known, default=None)
--- a/chicorypost/daemons/_events.py
+++ b/chicorypost/daemons/_events.py
@@ -14,9 +14,6 @@
 STOPPED = define_event(
     3, "stopped", Level.INFO, "The process ends; what it cut is named.", "cut_requests", "graceful"
 )
-SETTINGS_REFUSED = define_event(
-    4, "settings-refused", Level.ERROR, "The settings have a mistake.", "path", "problem"
-)
 PACKET_SOCKET_ERROR = define_event(
     5,
     "packet-socket-error",
--- a/chicorypost/daemons/_exchanges.py
+++ b/chicorypost/daemons/_exchanges.py
@@ -28,7 +28,6 @@
 ATTEMPT_HEADER = "chicorypost-attempt"
 DEADLINE_HEADER = "request-deadline"
 IDLE_CONNECTIONS_PER_UPSTREAM = 4
-NO_RESPONSE = None
 
 PoolKey = tuple[UpstreamId, int, str, int]
 
@@ -128,11 +127,11 @@
                 return ExchangeEnded(effect.attempt, answered, "answered", response)
             case ExchangeAnswer():
                 reason = "the answer names another attempt"
-                return ExchangeEnded(effect.attempt, DispatchOutcome.UNKNOWN, reason, NO_RESPONSE)
+                return ExchangeEnded(effect.attempt, DispatchOutcome.UNKNOWN, reason, None)
             case ExchangeFailed(fault=ExchangeFault.UNREACHABLE, detail=detail):
                 not_started = DispatchOutcome.NOT_STARTED
-                return ExchangeEnded(effect.attempt, not_started, detail, NO_RESPONSE)
-        return ExchangeEnded(effect.attempt, DispatchOutcome.UNKNOWN, result.detail, NO_RESPONSE)
+                return ExchangeEnded(effect.attempt, not_started, detail, None)
+        return ExchangeEnded(effect.attempt, DispatchOutcome.UNKNOWN, result.detail, None)
 
     def _belongs(self, effect: StartExchange, answer: ExchangeAnswer) -> bool:
         named = answer.header(ATTEMPT_HEADER)
--- a/chicorypost/daemons/_packets.py
+++ b/chicorypost/daemons/_packets.py
@@ -23,6 +23,9 @@
 
 DATAGRAM_BYTES = 65_535
 BATCH_PACKETS = 64
+FLOWS_PART = "flows"
+"""Name under which the flow router is added to the engine."""
+
 SOCKET_BUFFER_BYTES = 4 * 1024 * 1024
 HOP_MARK = b"\x00chicorypost-hop"
 """Precedes a packet that one balancer passed to another; no IPv4 packet begins with a zero byte."""
@@ -95,7 +98,7 @@
             pass
         except OSError as error:
             self.engine.emit(PACKET_SOCKET_ERROR.emit(reason=str(error)))
-        self.engine.reschedule()
+        self.engine.refresh(FLOWS_PART)
 
     def forward(self, data: bytes) -> None:
         """Forward one datagram of the fabric or of another balancer."""
