--- a/chicorypost/base/__init__.py
+++ b/chicorypost/base/__init__.py
@@ -1,5 +1,7 @@
 """Types shared by every part: ids, messages, the state machine interface and hashing."""
 
+from typing import TYPE_CHECKING, Any
+
 from chicorypost.base._hashing import hash64, rendezvous_rank
 from chicorypost.base._ids import (
     Address,
@@ -32,7 +34,6 @@
     encode,
     message_types,
 )
-from chicorypost.base._settings import Settings
 from chicorypost.base._topology import (
     Endpoint,
     LeaseChanged,
@@ -46,6 +47,9 @@
     rank_members,
 )
 
+if TYPE_CHECKING:
+    from chicorypost.base._settings import Settings
+
 __all__ = [
     "MAX_MESSAGE_BYTES",
     "WIRE_VERSION",
@@ -93,3 +97,12 @@
     "rank_members",
     "rendezvous_rank",
 ]
+
+
+def __getattr__(name: str) -> Any:
+    # Processes that take no pydantic settings start without importing pydantic.
+    if name == "Settings":
+        from chicorypost.base._settings import Settings
+
+        return Settings
+    raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
--- a/chicorypost/consensus/__init__.py
+++ b/chicorypost/consensus/__init__.py
@@ -8,6 +8,7 @@
     AddLearner,
     Apply,
     ChangeMembership,
+    ContactsChanged,
     DamageKind,
     MembershipChange,
     Persist,
@@ -35,15 +36,19 @@
     MemberId,
     Membership,
     Snapshot,
+    pack_record,
+    unpack_record,
 )
 from chicorypost.consensus._replica import Replica
 from chicorypost.consensus._settings import ReplicaSettings
+from chicorypost.consensus._steward import StewardSettings
 from chicorypost.consensus._storage import ReplicaStorage
 
 __all__ = [
     "AddLearner",
     "Apply",
     "ChangeMembership",
+    "ContactsChanged",
     "DamageKind",
     "Entry",
     "EntryKind",
@@ -70,6 +75,9 @@
     "Role",
     "Snapshot",
     "SnapshotTaken",
+    "StewardSettings",
     "StorageDamage",
     "TakeSnapshot",
+    "pack_record",
+    "unpack_record",
 ]
--- a/chicorypost/consensus/_core.py
+++ b/chicorypost/consensus/_core.py
@@ -116,6 +116,8 @@
         self.snapshot_asked = False
         self.last_contact: dict[InstanceId, Instant] = {}
         self.waiting: dict[InstanceId, str] = {}
+        self.greeted_at: dict[InstanceId, Instant] = {}
+        self.contacts = settings.contacts
         self.greetings: dict[InstanceId, tuple[str, bool]] = {}
         self.foreign_messages = 0
         self.leader_contact = now
--- a/chicorypost/consensus/_formation.py
+++ b/chicorypost/consensus/_formation.py
@@ -32,7 +32,8 @@
 
 def _peers(core: ReplicaCore) -> list[InstanceId]:
     known = {member.instance for member in core.log.membership.members}
-    return sorted((known | set(core.settings.founding_members)) - {core.identity.instance})
+    named = set(core.settings.founding_members) | set(core.contacts)
+    return sorted((known | named) - {core.identity.instance})
 
 
 def handle_hello(core: ReplicaCore, sender: InstanceId, message: Hello) -> None:
@@ -52,11 +53,25 @@
 def _note_waiting(core: ReplicaCore, sender: InstanceId, message: Hello) -> None:
     is_foreign = message.cluster not in ("", core.hard_state.cluster)
     generations = {member.generation for member in core.log.membership.members}
-    generations.update(member.generation for member in core.hard_state.founding.voters)
-    if is_foreign or message.source in generations or core.waiting.get(sender) == message.source:
+    if not message.cluster:
+        # A founder's greeting from before the founding may arrive after it.
+        generations.update(member.generation for member in core.hard_state.founding.voters)
+    if not is_foreign and message.source not in generations:
+        _note_generation(core, sender, message.source)
+
+
+def note_former_member(core: ReplicaCore, sender: InstanceId, generation: str) -> None:
+    """Note an instance that asks for votes though it has been removed without learning of it."""
+    if generation not in {member.generation for member in core.log.membership.members}:
+        _note_generation(core, sender, generation)
+
+
+def _note_generation(core: ReplicaCore, sender: InstanceId, generation: str) -> None:
+    core.greeted_at[sender] = core.now
+    if core.waiting.get(sender) == generation:
         return
-    core.waiting[sender] = message.source
-    waiting = _events.MEMBER_WAITING.emit(member=sender, generation=message.source)
+    core.waiting[sender] = generation
+    waiting = _events.MEMBER_WAITING.emit(member=sender, generation=generation)
     core.effects.append(waiting)
 
 
--- a/chicorypost/consensus/_interface.py
+++ b/chicorypost/consensus/_interface.py
@@ -92,6 +92,13 @@
     change: MembershipChange
 
 
+@dataclass(frozen=True, slots=True)
+class ContactsChanged(Event):
+    """Whom a replica that isn't a member asks for its cluster."""
+
+    contacts: tuple[InstanceId, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Persisted(Event):
     """All `Persist` effects up to and including this write number are synced, file and folder."""
--- a/chicorypost/consensus/_replica.py
+++ b/chicorypost/consensus/_replica.py
@@ -27,10 +27,13 @@
     handle_cluster_info,
     handle_hello,
     needs_hello,
+    note_former_member,
     send_hellos,
 )
 from chicorypost.consensus._interface import (
     ChangeMembership,
+    ContactsChanged,
+    MembershipChange,
     Persisted,
     Propose,
     Read,
@@ -66,6 +69,7 @@
 )
 from chicorypost.consensus._settings import ReplicaSettings
 from chicorypost.consensus._snapshots import handle_chunk, note_chunk_answer, store_snapshot
+from chicorypost.consensus._steward import StewardSettings, plan_repair
 
 
 class Replica:
@@ -134,6 +138,8 @@
                 change_membership(core, event)
             case SnapshotTaken():
                 store_snapshot(core, event)
+            case ContactsChanged(contacts):
+                core.contacts = contacts
             case _:
                 raise TypeError(f"event is not for a replica: got {type(event).__name__}")
 
@@ -158,6 +164,7 @@
         core.last_contact[sender] = core.now
         match message:
             case VoteRequest():
+                note_former_member(core, sender, message.source)
                 handle_vote_request(core, sender, message)
             case AppendRequest():
                 handle_append(core, sender, message)
@@ -269,3 +276,7 @@
     def waiting_members(self) -> dict[InstanceId, str]:
         """Instances that wait to be added, each with the generation of its data folder."""
         return dict(self.core.waiting)
+
+    def plan_repair(self, settings: StewardSettings) -> MembershipChange | None:
+        """Return the next membership change that brings the voters to their number, if any."""
+        return plan_repair(self.core, settings)
--- a/chicorypost/consensus/_settings.py
+++ b/chicorypost/consensus/_settings.py
@@ -1,28 +1,37 @@
 """Settings of the replicated log."""
 
-from pydantic import Field
+from dataclasses import dataclass
+from typing import Annotated
 
-from chicorypost.base import InstanceId, Settings
+from annotated_types import Ge, Gt, Le
+
+from chicorypost.base import InstanceId
 
 KIBIBYTE = 1024
 
 
-class ReplicaSettings(Settings):
+@dataclass(frozen=True)
+class ReplicaSettings:
     """Settings of one replica.
 
     `founding_members` must be equal on all of them. Only the first start of a cluster uses it as
-    the membership; later it names whom a replica without a cluster asks.
+    the membership; later it names whom a replica without a cluster asks. `contacts` are asked as
+    well, but never found a cluster. A process that reads its settings from a file checks bounds
+    with pydantic, which knows data classes.
     """
 
+    __pydantic_config__ = {"extra": "forbid"}
+
     founding_members: tuple[InstanceId, ...] = ()
-    heartbeat_seconds: float = Field(default=0.25, gt=0)
-    election_seconds: float = Field(default=1.5, gt=0)
-    silent_seconds: float = Field(default=5.0, gt=0)
-    max_proposals_in_flight: int = Field(default=256, ge=1)
-    max_reads_in_flight: int = Field(default=1024, ge=1)
-    max_command_bytes: int = Field(default=512 * KIBIBYTE, ge=1)
-    max_append_bytes: int = Field(default=256 * KIBIBYTE, ge=1)
-    max_snapshot_bytes: int = Field(default=64 * KIBIBYTE * KIBIBYTE, ge=1)
-    snapshot_chunk_bytes: int = Field(default=128 * KIBIBYTE, ge=1, le=2 * KIBIBYTE * KIBIBYTE)
-    snapshot_interval_records: int = Field(default=1000, ge=1)
-    trailing_records: int = Field(default=200, ge=0)
+    contacts: tuple[InstanceId, ...] = ()
+    heartbeat_seconds: Annotated[float, Gt(0)] = 0.25
+    election_seconds: Annotated[float, Gt(0)] = 1.5
+    silent_seconds: Annotated[float, Gt(0)] = 5.0
+    max_proposals_in_flight: Annotated[int, Ge(1)] = 256
+    max_reads_in_flight: Annotated[int, Ge(1)] = 1024
+    max_command_bytes: Annotated[int, Ge(1)] = 512 * KIBIBYTE
+    max_append_bytes: Annotated[int, Ge(1)] = 256 * KIBIBYTE
+    max_snapshot_bytes: Annotated[int, Ge(1)] = 64 * KIBIBYTE * KIBIBYTE
+    snapshot_chunk_bytes: Annotated[int, Ge(1), Le(2 * KIBIBYTE * KIBIBYTE)] = 128 * KIBIBYTE
+    snapshot_interval_records: Annotated[int, Ge(1)] = 1000
+    trailing_records: Annotated[int, Ge(0)] = 200
--- a/chicorypost/consensus/_storage.py
+++ b/chicorypost/consensus/_storage.py
@@ -71,11 +71,23 @@
         self.snapshot_file: str | None = None
 
     def recover(self) -> RecoveredState | StorageDamage:
-        """Read what earlier writes left, cutting an interrupted last write."""
+        """Read what earlier writes left, cutting an interrupted last write.
+
+        All that was read is synced: a process that was killed may have written without syncing,
+        and what is read here is vouched for from now on.
+
+        Raises
+        ------
+        OSError
+            If the disk fails; recovery may be tried again.
+        """
         content = read_folder(self.files)
         if isinstance(content, StorageDamage):
             return content
         self._clean(content)
+        for name in self.files.names():
+            self.files.sync(name)
+        self.files.sync_folder()
         generation = content.generation
         if generation is None:
             generation = self.make_generation()
--- /dev/null
+++ b/chicorypost/cookies/_router.py
@@ -0,0 +1,248 @@
+"""The cookie router of one balancer."""
+
+from collections import Counter
+from random import Random
+from typing import Any
+
+from chicorypost.announcements import (
+    RoutingApplied,
+    Standing,
+    UpstreamsSeen,
+    VisibleUpstream,
+)
+from chicorypost.base import (
+    Address,
+    Effect,
+    Endpoint,
+    Event,
+    FlowKey,
+    Instant,
+    ServiceId,
+    Tick,
+    UpstreamId,
+    hash64,
+)
+from chicorypost.cookies._choice import FlowChooser
+from chicorypost.cookies._events import UPSTREAM_SUSPECTED, UPSTREAM_TRUSTED
+from chicorypost.cookies._flows import FlowTracker
+from chicorypost.cookies._packet import (
+    DROPPED,
+    RESETS,
+    CookiePacket,
+    Decision,
+    DropReason,
+    ForwardTo,
+    ResetReason,
+)
+from chicorypost.cookies._settings import CookieSettings
+from chicorypost.cookies._suspects import Suspects
+from chicorypost.routing import NO_VERSION, Route, RoutingDocument
+
+MAX_COOKIE = 2**32 - 1
+
+EXPIRY_SECONDS = 0.5
+"""How often flows that are over are looked for; short against the time that a flow may open."""
+
+
+class CookieRouter:
+    """Chooses an upstream for each new flow and finds that of an open one by its cookie.
+
+    Parameters
+    ----------
+    settings : CookieSettings
+        Times and weights.
+    random : Random
+        Source of randomness.
+    now : Instant
+        Current time.
+
+    Notes
+    -----
+    The cookie is a hash of the upstream's endpoint, so every balancer that knows the upstream can
+    forward every packet of an open flow without having seen it before. An endpoint that isn't
+    known gets nothing: a client can't choose where its packets go. What is remembered of flows
+    only improves the choice: copies of an opening go to the same upstream, and load is known.
+    """
+
+    def __init__(self, settings: CookieSettings, random: Random, now: Instant) -> None:
+        self.settings = settings
+        self.tracker = FlowTracker()
+        self.suspects = Suspects(settings)
+        self.chooser = FlowChooser(settings, self.tracker, self.suspects, random)
+        self.document: RoutingDocument | None = None
+        self.routes: dict[Address, Route] = {}
+        self.upstreams: dict[UpstreamId, VisibleUpstream] = {}
+        self.candidates: dict[ServiceId, list[VisibleUpstream]] = {}
+        self.by_cookie: dict[int, UpstreamId] = {}
+        self.gone_at: dict[UpstreamId, Instant] = {}
+        self.counters: Counter[str] = Counter()
+        self.expire_at = Instant(now + EXPIRY_SECONDS)
+        self.effects: list[Effect] = []
+
+    def handle(self, event: Event, now: Instant) -> list[Effect]:
+        """Take one event and return the effects."""
+        match event:
+            case RoutingApplied(document):
+                self.document = document
+                self.routes = {route.address: route for route in document.routes}
+            case UpstreamsSeen(upstreams):
+                self._take_upstreams(upstreams, now)
+            case Tick():
+                self.expire_at = Instant(now + EXPIRY_SECONDS)
+                idle_seconds = self.settings.flow_idle_seconds
+                self.tracker.expire(now, self.settings.opening_seconds, idle_seconds)
+            case _:
+                raise TypeError(f"event is not for the router: got {type(event).__name__}")
+        return self.take_effects()
+
+    def take_effects(self) -> list[Effect]:
+        """Return what routing packets has to tell since the last call."""
+        effects, self.effects = self.effects, []
+        return effects
+
+    def next_deadline(self) -> Instant | None:
+        """Return when the router next wants a `Tick`."""
+        return self.expire_at
+
+    def dump(self) -> dict[str, Any]:
+        """Return the whole decision state as values that JSON can hold."""
+        return {
+            "version": self.document.version if self.document else NO_VERSION,
+            "flows": len(self.tracker.flows),
+            "loads": {
+                name: [load.flows, load.opening, load.busy]
+                for name, load in self.tracker.loads.items()
+            },
+            "suspected": {
+                name: suspicion.until
+                for name, suspicion in self.suspects.suspicions.items()
+                if suspicion.rounds
+            },
+            "counters": dict(self.counters),
+        }
+
+    def route(self, packet: CookiePacket, now: Instant) -> Decision:
+        """Choose what to do with a client's packet.
+
+        Parameters
+        ----------
+        packet : CookiePacket
+            The packet.
+        now : Instant
+            Current time.
+
+        Returns
+        -------
+        Decision
+            Where the packet goes, or why it goes nowhere.
+        """
+        if packet.opens:
+            return self._route_opening(packet, now)
+        name = self.by_cookie.get(packet.cookie)
+        if name is None:
+            reason = DropReason.UNKNOWN_UPSTREAM if packet.cookie else DropReason.NO_COOKIE
+            return self._drop(reason)
+        announcement = self.upstreams[name].announcement
+        if self._is_over(name, now) and not packet.aborts:
+            self.tracker.close(packet.flow)
+            return self._reset(ResetReason.UPSTREAM_GONE)
+        if self.tracker.pass_packet(packet, name, now) and self.suspects.answered(name, now):
+            self.effects.append(UPSTREAM_TRUSTED.emit(upstream=name))
+        self.counters["forwarded"] += 1
+        return ForwardTo(name, (announcement.endpoint.host, announcement.endpoint.port), 0)
+
+    def _is_over(self, name: UpstreamId, now: Instant) -> bool:
+        gone_at = self.gone_at.get(name)
+        return gone_at is not None and now - gone_at >= self.settings.gone_grace_seconds
+
+    def _route_opening(self, packet: CookiePacket, now: Instant) -> Decision:
+        if self.document is None:
+            return self._drop(DropReason.NOT_CONFIGURED)
+        route = self.routes.get(packet.address)
+        if route is None:
+            return self._reset(ResetReason.NO_ROUTE)
+        chosen = self._repeat_choice(packet, now)
+        if chosen is None:
+            service = pick_service(route, packet.flow)
+            chosen = self.chooser.choose(self.candidates.get(service, ()), now)
+            if chosen is None:
+                return self._reset(ResetReason.NO_UPSTREAM)
+            self.tracker.open(packet.flow, chosen.announcement.upstream, now)
+        self.counters["opened"] += 1
+        announcement = chosen.announcement
+        address = (announcement.endpoint.host, announcement.endpoint.port)
+        return ForwardTo(
+            announcement.upstream, address, announcement.token, make_cookie(announcement.endpoint)
+        )
+
+    def _repeat_choice(self, packet: CookiePacket, now: Instant) -> VisibleUpstream | None:
+        """Return the upstream that got an earlier copy of the opening, unless it can't answer.
+
+        Two upstreams that both answer would leave the client with the cookie of one and the
+        sequence numbers of the other, so a copy moves only away from an upstream that is dead.
+        """
+        state = self.tracker.flows.get(packet.flow)
+        if state is None or not state.opening:
+            return None
+        chosen = self.upstreams.get(state.upstream)
+        if chosen is None or chosen.announcement.standing is Standing.GONE:
+            return None
+        if packet.acknowledged > state.copies:
+            state.copies = packet.acknowledged
+            if self.suspects.unanswered(state.upstream, state.seen_at, now):
+                suspected = UPSTREAM_SUSPECTED.emit(upstream=state.upstream)
+                self.effects.append(suspected)
+        if chosen.silent or self.suspects.is_dead(state.upstream):
+            return None
+        return chosen
+
+    def _take_upstreams(self, upstreams: tuple[VisibleUpstream, ...], now: Instant) -> None:
+        known = {item.announcement.upstream: item for item in upstreams}
+        for name, item in known.items():
+            former = self.upstreams.get(name)
+            if former is not None and former.announcement.born_ms != item.announcement.born_ms:
+                self.suspects.forget(name)
+            if item.announcement.standing is Standing.GONE:
+                self.gone_at.setdefault(name, now)
+            else:
+                self.gone_at.pop(name, None)
+        for name in set(self.upstreams) - set(known):
+            self.tracker.forget_upstream(name)
+            self.suspects.forget(name)
+            self.gone_at.pop(name, None)
+        self.upstreams = known
+        self.candidates = {}
+        self.by_cookie = {}
+        # At an address that was used again the run that started last is the one that is there.
+        for item in sorted(upstreams, key=lambda item: item.announcement.born_ms):
+            announcement = item.announcement
+            self.by_cookie[make_cookie(announcement.endpoint)] = announcement.upstream
+            if announcement.standing is Standing.READY:
+                self.candidates.setdefault(announcement.service, []).append(item)
+
+    def _drop(self, reason: DropReason) -> Decision:
+        self.counters[f"dropped-{reason.value}"] += 1
+        return DROPPED[reason]
+
+    def _reset(self, reason: ResetReason) -> Decision:
+        self.counters[f"reset-{reason.value}"] += 1
+        return RESETS[reason]
+
+
+def pick_service(route: Route, flow: FlowKey) -> ServiceId:
+    """Return the service of a new flow, by the weights; copies of an opening get the same one."""
+    if len(route.targets) == 1:
+        return route.targets[0].service
+    total = sum(target.weight for target in route.targets)
+    place = hash64(flow) % total
+    for target in route.targets:
+        place -= target.weight
+        if place < 0:
+            return target.service
+    raise AssertionError("weights don't add up")
+
+
+def make_cookie(endpoint: Endpoint) -> int:
+    """Return the cookie of the upstream at an endpoint: 32 bits, never 0."""
+    text = f"{endpoint.host}:{endpoint.port}"
+    return hash64(text.encode()) % MAX_COOKIE + 1
--- a/chicorypost/daemons/__init__.py
+++ b/chicorypost/daemons/__init__.py
@@ -1,18 +1,25 @@
-"""Daemons: move bytes and time between sockets and state machines."""
+"""Daemons: move bytes and time between sockets and state machines.
 
-from chicorypost.daemons._balancer import BalancerDaemon, run_balancer
-from chicorypost.daemons._control import run_control
-from chicorypost.daemons._control_settings import ControlSettings
-from chicorypost.daemons._engine import Engine, Part
-from chicorypost.daemons._packets import PacketForwarder, open_packet_socket
-from chicorypost.daemons._settings import (
-    BalancerSettings,
-    ProcessSettings,
-    SettingsMistake,
-    check_settings,
-    load_settings,
-    parse_endpoint,
-)
+Names are imported when they are used: a process loads only what its role runs.
+"""
+
+import importlib
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from chicorypost.daemons._balancer import BalancerDaemon, run_balancer
+    from chicorypost.daemons._control import run_control
+    from chicorypost.daemons._control_settings import ControlSettings
+    from chicorypost.daemons._engine import Engine, Part
+    from chicorypost.daemons._packets import PacketForwarder, open_packet_socket
+    from chicorypost.daemons._settings import (
+        BalancerSettings,
+        ProcessSettings,
+        SettingsMistake,
+        check_settings,
+        load_settings,
+        parse_endpoint,
+    )
 
 __all__ = [
     "BalancerDaemon",
@@ -30,3 +37,26 @@
     "run_balancer",
     "run_control",
 ]
+
+_MODULES = {
+    "BalancerDaemon": "_balancer",
+    "BalancerSettings": "_settings",
+    "ControlSettings": "_control_settings",
+    "Engine": "_engine",
+    "PacketForwarder": "_packets",
+    "Part": "_engine",
+    "ProcessSettings": "_settings",
+    "SettingsMistake": "_settings",
+    "check_settings": "_settings",
+    "load_settings": "_settings",
+    "open_packet_socket": "_packets",
+    "parse_endpoint": "_settings",
+    "run_balancer": "_balancer",
+    "run_control": "_control",
+}
+
+
+def __getattr__(name: str) -> Any:
+    if name in _MODULES:
+        return getattr(importlib.import_module(f"{__name__}.{_MODULES[name]}"), name)
+    raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
--- a/chicorypost/daemons/_control.py
+++ b/chicorypost/daemons/_control.py
@@ -1,5 +1,6 @@
 """The control process: replicated log, configuration and operators' listener."""
 
+import dataclasses
 import functools
 import random
 import time
@@ -226,4 +227,4 @@
     if settings.replica.founding_members:
         return settings.replica
     founders = tuple(address.id for address in settings.controls) or (settings.id,)
-    return settings.replica.model_copy(update={"founding_members": founders})
+    return dataclasses.replace(settings.replica, founding_members=founders)
--- /dev/null
+++ b/chicorypost/platform/_announcements.py
@@ -0,0 +1,106 @@
+"""Calls by which upstreams announce themselves."""
+
+import msgspec
+
+from chicorypost.announcements import Announcement, Leaving, Standing
+from chicorypost.base import DataCentreId, ServiceId, UpstreamId
+from chicorypost.platform._settings import read_endpoint
+
+MAX_SLOTS = 1_000_000
+MAX_TOKEN = 2**64 - 1
+
+_HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
+_STANDINGS = {"ready": Standing.READY, "draining": Standing.DRAINING}
+
+
+class _Beat(msgspec.Struct):
+    """Body of an announcement."""
+
+    service: str
+    address: str
+    zone: str  # the data centre
+    max_concurrency: int  # slots: requests that run at a time
+    state: str
+    seq: int
+    born: int  # start of this run, in milliseconds since the Unix epoch
+    warmup_left_ms: float = 0.0
+
+
+class _Leave(msgspec.Struct):
+    """Body of a farewell; it may be empty."""
+
+    seq: int | None = None
+    born: int | None = None
+
+
+class AnnouncementMistake(msgspec.Struct, frozen=True):
+    """Why a call of an upstream is refused."""
+
+    detail: str
+
+
+def read_announcement(name: str, body: bytes) -> Announcement | AnnouncementMistake:
+    """Read an announcement.
+
+    Parameters
+    ----------
+    name : str
+        Name of the upstream, from the path of the call.
+    body : bytes
+        Body of the call.
+
+    Returns
+    -------
+    Announcement or AnnouncementMistake
+        What the upstream says, or why it can't be used.
+    """
+    try:
+        beat = msgspec.json.decode(body, type=_Beat)
+        endpoint = read_endpoint(beat.address)
+        token = read_token(name)
+    except (msgspec.DecodeError, msgspec.ValidationError, ValueError) as error:
+        return AnnouncementMistake(str(error))
+    standing = _STANDINGS.get(beat.state)
+    if standing is None:
+        return AnnouncementMistake(f"unknown state: {beat.state!r:.60}")
+    if not beat.service or not beat.zone:
+        return AnnouncementMistake("service or zone is empty")
+    if not 0 < beat.max_concurrency <= MAX_SLOTS or beat.seq < 0 or beat.born < 0:
+        return AnnouncementMistake("a number is out of range")
+    return Announcement(
+        upstream=UpstreamId(name),
+        born_ms=beat.born,
+        sequence=beat.seq,
+        service=ServiceId(beat.service),
+        data_centre=DataCentreId(beat.zone),
+        endpoint=endpoint,
+        token=token,
+        slots=beat.max_concurrency,
+        standing=standing,
+        warm_in_ms=max(0, int(beat.warmup_left_ms)),
+    )
+
+
+def read_leaving(name: str, body: bytes) -> Leaving | AnnouncementMistake:
+    """Read the call by which an upstream says that it ends."""
+    if not body.strip():
+        return Leaving(UpstreamId(name), None, None)
+    try:
+        leave = msgspec.json.decode(body, type=_Leave)
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        return AnnouncementMistake(str(error))
+    return Leaving(UpstreamId(name), leave.born, leave.seq)
+
+
+def read_token(name: str) -> int:
+    """Return the number that packets meant for an upstream carry: the hex digits of its name.
+
+    Raises
+    ------
+    ValueError
+        If the name holds no number of at most 64 bits.
+    """
+    digits = "".join(letter for letter in name if letter in _HEX_DIGITS)
+    if not digits or int(digits, 16) > MAX_TOKEN or not int(digits, 16):
+        raise ValueError(f"the name holds no number of 64 bits: {name!r:.60}")
+    return int(digits, 16)
--- /dev/null
+++ b/chicorypost/platform/_configuration.py
@@ -0,0 +1,108 @@
+"""The configuration as operators send it."""
+
+import msgspec
+
+from chicorypost.base import ServiceId, Version
+from chicorypost.platform._packets import make_address
+from chicorypost.platform._settings import read_endpoint
+from chicorypost.routing import (
+    Retryability,
+    Route,
+    RoutingDocument,
+    RoutingMistake,
+    ServiceSpec,
+    WeightedService,
+    check_routing,
+)
+
+_KINDS = {
+    "safe": Retryability.IDEMPOTENT,
+    "unsafe": Retryability.NON_IDEMPOTENT,
+    "upload": Retryability.UPLOAD,
+}
+
+
+class _Share(msgspec.Struct):
+    service: str
+    weight: int
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str  # IPv4 address that clients connect to
+    path_prefix: str  # no path: the port that clients connect to, between slashes
+    route_type: str
+    timeout_ms: int
+    service: str | None = None
+    split: list[_Share] | None = None
+    target_latency_ms: int = 0
+    priority: int = 0
+
+
+class _Service(msgspec.Struct):
+    name: str
+    health_path: str = ""
+    max_conns: int = 0
+
+
+class _Limits(msgspec.Struct):
+    idle_timeout_ms: int = 15_000
+
+
+class _Document(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+def read_configuration(body: bytes) -> RoutingDocument | RoutingMistake:
+    """Read and check a whole configuration.
+
+    Parameters
+    ----------
+    body : bytes
+        What the operator sent.
+
+    Returns
+    -------
+    RoutingDocument or RoutingMistake
+        The configuration, or why it is refused.
+    """
+    try:
+        document = msgspec.json.decode(body, type=_Document)
+        routes = tuple(_read_route(route) for route in document.routes)
+    except (msgspec.DecodeError, msgspec.ValidationError, ValueError) as error:
+        return RoutingMistake(str(error))
+    services = tuple(
+        ServiceSpec(ServiceId(spec.name), spec.health_path, spec.max_conns)
+        for spec in document.services
+    )
+    idle_seconds = document.limits.idle_timeout_ms / 1000
+    checked = RoutingDocument(Version(document.version), routes, services, idle_seconds)
+    mistake = check_routing(checked)
+    return checked if mistake is None else mistake
+
+
+def _read_route(route: _Route) -> Route:
+    kind = _KINDS.get(route.route_type)
+    if kind is None:
+        raise ValueError(f"route {route.name!r:.60}: unknown kind {route.route_type!r:.60}")
+    endpoint = read_endpoint(f"{route.host}:{route.path_prefix.strip('/')}")
+    return Route(
+        name=route.name,
+        address=make_address(endpoint.host, endpoint.port),
+        targets=_read_targets(route),
+        retryability=kind,
+        timeout_ms=route.timeout_ms,
+        target_ms=route.target_latency_ms,
+        priority=route.priority,
+    )
+
+
+def _read_targets(route: _Route) -> tuple[WeightedService, ...]:
+    if route.split is not None:
+        return tuple(WeightedService(ServiceId(item.service), item.weight) for item in route.split)
+    if route.service is None:
+        return ()
+    return (WeightedService(ServiceId(route.service), 1),)
--- /dev/null
+++ b/chicorypost/platform/_settings.py
@@ -0,0 +1,154 @@
+"""The settings file that the platform writes for each process."""
+
+import msgspec
+
+from chicorypost.base import DataCentreId, Endpoint, InstanceId
+
+SETTINGS_VARIABLE = "CHICORYPOST_NODE_FILE"
+"""Environment variable that names the settings file."""
+
+
+class _Listen(msgspec.Struct):
+    datagram_addr: str = ""
+    readiness_addr: str = ""
+    control: str = ""
+
+
+class _Tolerance(msgspec.Struct):
+    machines: int = 1
+
+
+class _Bounds(msgspec.Struct):
+    grace_s: float = 6.0
+
+
+class _File(msgspec.Struct):
+    """The fields of the file that are used; others are ignored."""
+
+    node_name: str
+    ip: str
+    zone: str
+    listen: _Listen
+    internal_ports: tuple[int, int]
+    seeds: list[str]
+    bootstrap: bool = False
+    data_dir: str | None = None
+    heartbeat_interval_ms: int = 1000
+    fault_tolerance: _Tolerance = msgspec.field(default_factory=_Tolerance)
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+
+class NodeSettings(msgspec.Struct, frozen=True):
+    """Settings of one process.
+
+    Parameters
+    ----------
+    name : str
+        Name of the machine, for logs.
+    host : str
+        Its IP address.
+    data_centre : DataCentreId
+        Where it stands; the platform says zone.
+    packets : Endpoint or None
+        Where the fabric sends packets. Clients listen at the same port number.
+    readiness : Endpoint or None
+        Where the fabric asks whether to send packets here.
+    control : Endpoint or None
+        Where operators and upstreams call.
+    peer_port : int
+        Port at which control instances take connections of our processes, on every machine.
+    seeds : tuple of InstanceId
+        Control instances to start with, each named by its control endpoint.
+    founds : bool
+        Whether the system starts for the first time, with empty disks everywhere.
+    data_folder : str or None
+        Folder on the disk, where there is one.
+    announcement_seconds : float
+        How often upstreams announce themselves.
+    lost_disks : int
+        How many control instances may be lost at a time while all promises hold.
+    stop_seconds : float
+        Time between the request to stop and the kill.
+    """
+
+    name: str
+    host: str
+    data_centre: DataCentreId
+    packets: Endpoint | None
+    readiness: Endpoint | None
+    control: Endpoint | None
+    peer_port: int
+    seeds: tuple[InstanceId, ...]
+    founds: bool
+    data_folder: str | None
+    announcement_seconds: float
+    lost_disks: int
+    stop_seconds: float
+
+
+class NodeSettingsMistake(msgspec.Struct, frozen=True):
+    """Why a settings file can't be used."""
+
+    detail: str
+
+
+def read_node_settings(data: bytes) -> NodeSettings | NodeSettingsMistake:
+    """Read the settings of a process.
+
+    Parameters
+    ----------
+    data : bytes
+        Content of the file, as `deploy/node.json` lays it out.
+
+    Returns
+    -------
+    NodeSettings or NodeSettingsMistake
+        The settings, or what is wrong with the file.
+    """
+    try:
+        file = msgspec.json.decode(data, type=_File)
+        return NodeSettings(
+            name=file.node_name,
+            host=file.ip,
+            data_centre=DataCentreId(file.zone),
+            packets=_endpoint_or_none(file.listen.datagram_addr),
+            readiness=_endpoint_or_none(file.listen.readiness_addr),
+            control=_endpoint_or_none(file.listen.control),
+            peer_port=file.internal_ports[0],
+            seeds=tuple(InstanceId(seed) for seed in file.seeds),
+            founds=file.bootstrap,
+            data_folder=file.data_dir or None,
+            announcement_seconds=file.heartbeat_interval_ms / 1000,
+            lost_disks=file.fault_tolerance.machines,
+            stop_seconds=file.bounds.grace_s,
+        )
+    except (msgspec.DecodeError, msgspec.ValidationError, ValueError) as error:
+        return NodeSettingsMistake(str(error))
+
+
+def _endpoint_or_none(text: str) -> Endpoint | None:
+    return read_endpoint(text) if text else None
+
+
+def read_endpoint(text: str) -> Endpoint:
+    """Read ``address:port``.
+
+    Raises
+    ------
+    ValueError
+        If the text isn't an IPv4 address and a port from 1 to 65535.
+    """
+    host, separator, port = text.rpartition(":")
+    parts = host.split(".")
+    is_address = len(parts) == 4 and all(_is_octet(part) for part in parts)
+    if not separator or not is_address or not _is_number(port) or not 0 < int(port) < 65536:
+        raise ValueError(f"not an IPv4 address and port: {text!r:.60}")
+    return Endpoint(host, int(port))
+
+
+def _is_octet(text: str) -> bool:
+    return _is_number(text) and int(text) < 256
+
+
+def _is_number(text: str) -> bool:
+    return text.isascii() and text.isdigit() and len(text) <= 5
--- /dev/null
+++ b/chicorypost/roles/_balancer.py
@@ -0,0 +1,238 @@
+"""The balancer role: packets in and out, readiness, and the feeds of the control instances."""
+
+import socket
+import time
+from functools import partial
+from random import Random
+from typing import Any
+
+import trio
+
+from chicorypost import __version__
+from chicorypost.announcements import (
+    AnnouncementSettings,
+    ControlsChanged,
+    DirectoryView,
+    PeerGone,
+    PeerReached,
+    RoutingApplied,
+    SeedsChanged,
+    UpstreamsSeen,
+)
+from chicorypost.base import Effect, Endpoint, Event, Incarnation, InstanceId, Message
+from chicorypost.cookies import CookieRouter, CookieSettings, ForwardTo, ResetFlow
+from chicorypost.daemons import Engine, Part
+from chicorypost.daemons._engine import messages_in
+from chicorypost.daemons._events import STARTED
+from chicorypost.daemons._stop import StopControl
+from chicorypost.platform import (
+    BadPacket,
+    NodeSettings,
+    Simple,
+    answer_done,
+    answer_unavailable,
+    answer_unknown,
+    make_reset,
+    read_call,
+    read_packet,
+    wrap_packet,
+)
+from chicorypost.roles._events import PACKET_SOCKET_FAILED, READY, ROUTING_APPLIED
+from chicorypost.roles._process import Journal, network_settings, resolve_control
+from chicorypost.roles._settings_file import watch_settings
+from chicorypost.transport import (
+    Hello,
+    HttpServer,
+    HttpServerRequest,
+    HttpServerResponse,
+    HttpSettings,
+    PeerNetwork,
+    TlsContexts,
+    TlsSettings,
+)
+
+FEED_TAGS = range(811, 900)
+DATAGRAM_BYTES = 2048
+"""Room for a packet with the largest data, and for one that is too long to be one."""
+BATCH_PACKETS = 32
+SOCKET_BUFFER_BYTES = 512 * 1024
+LEAVE_SECONDS = 2.5
+"""How long packets are still forwarded once a stop has begun: the fabric asks twice a second and
+leaves this instance out after two refusals."""
+
+
+class BalancerRole:
+    """One balancer on the platform.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        Settings of this process.
+    journal : Journal
+        Takes log events.
+    """
+
+    def __init__(self, settings: NodeSettings, journal: Journal) -> None:
+        assert settings.packets is not None and settings.readiness is not None
+        self.settings = settings
+        self.journal = journal
+        self.engine = Engine(self._send, journal.emit, self._execute)
+        self.stop = StopControl(LEAVE_SECONDS + 1.0, journal.emit)
+        now, random = self.engine.now(), Random()
+        announcements = AnnouncementSettings(interval_seconds=settings.announcement_seconds)
+        self.view = DirectoryView(announcements, settings.seeds, now)
+        self.router = CookieRouter(CookieSettings(), random, now)
+        self.engine.add(
+            Part("view", self.view, messages_in(FEED_TAGS), (PeerReached, PeerGone, SeedsChanged))
+        )
+        self.engine.add(Part("flows", self.router, (), (RoutingApplied, UpstreamsSeen)))
+        self.client_port = settings.packets.port
+        self.socket = open_packet_socket(settings.packets)
+        self.was_ready = False
+        self.network = self._make_network()
+        self.server = HttpServer("readiness", HttpSettings(), self._answer, journal.emit)
+
+    def _make_network(self) -> PeerNetwork:
+        settings = self.settings
+        hello = Hello(
+            InstanceId(settings.host),
+            Incarnation(time.time_ns() // 1_000_000),
+            settings.data_centre,
+            Endpoint(settings.host, 0),
+        )
+        return PeerNetwork(
+            network_settings(),
+            hello,
+            TlsContexts(TlsSettings(off=True), self.journal.emit),
+            self.engine.receive,
+            self.journal.emit,
+            resolve=partial(resolve_control, port=settings.peer_port),
+            on_connected=self._note_connected,
+            on_lost=self._note_lost,
+        )
+
+    def _note_connected(self, peer: InstanceId) -> None:
+        self.engine.post(PeerReached(peer))
+
+    def _note_lost(self, peer: InstanceId) -> None:
+        self.engine.post(PeerGone(peer))
+
+    def _send(self, to: InstanceId, message: Message) -> None:
+        self.network.send(to, message)
+
+    def _execute(self, effect: Effect) -> None:
+        match effect:
+            case ControlsChanged(controls):
+                self._follow_controls(controls)
+            case RoutingApplied(document):
+                self.journal.emit(ROUTING_APPLIED.emit(version=document.version))
+            case Event():
+                pass
+            case _:
+                raise AssertionError(f"effect is not known: {effect!r}")
+
+    def _follow_controls(self, controls: frozenset[InstanceId]) -> None:
+        for former in set(self.network.links) - controls:
+            self.network.forget(former)
+        for name in controls:
+            self.network.keep(name)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the whole decision state of this process."""
+        return {"id": self.settings.host, "ready": not self.not_ready(), **self.engine.dump()}
+
+    def not_ready(self) -> str:
+        """Return why the fabric shouldn't send packets here, or an empty string."""
+        if self.stop.is_stopping:
+            return "stopping"
+        if self.view.document is None:
+            return "no configuration yet"
+        return "" if self.view.has_directory else "no upstreams known yet"
+
+    async def _answer(self, request: HttpServerRequest) -> HttpServerResponse:
+        if read_call(request) is not Simple.READY:
+            return answer_unknown()
+        reason = self.not_ready()
+        if reason:
+            return answer_unavailable(reason)
+        if not self.was_ready:
+            self.was_ready = True
+            self.journal.emit(READY.emit(version=self.view.version))
+        return answer_done()
+
+    async def run(self) -> None:
+        """Serve until a stop."""
+        settings = self.settings
+        assert settings.readiness is not None
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self.stop.run, self._leave, nursery.cancel_scope)
+            await nursery.start(self.network.run, None)
+            probes = await trio.open_tcp_listeners(settings.readiness.port, host=settings.host)
+            nursery.start_soon(partial(trio.serve_listeners, self.server.serve, probes))
+            nursery.start_soon(self._forward_packets)
+            watch = partial(watch_settings, settings, self._change_settings, self.journal.emit)
+            nursery.start_soon(watch)
+            self.journal.emit(STARTED.emit(role="balancer", version=__version__))
+            self.engine.post(SeedsChanged(settings.seeds))
+            self.engine.reschedule()
+            nursery.start_soon(self.engine.run_timer)
+
+    def _change_settings(self, settings: NodeSettings) -> None:
+        self.engine.post(SeedsChanged(settings.seeds))
+
+    async def _leave(self) -> None:
+        """Forward packets until the fabric has taken this instance out of rotation."""
+        await trio.sleep(LEAVE_SECONDS)
+
+    async def _forward_packets(self) -> None:
+        while True:
+            await trio.lowlevel.wait_readable(self.socket)
+            self._forward_batch()
+            await trio.lowlevel.checkpoint()
+
+    def _forward_batch(self) -> None:
+        """Read and forward the packets that wait, up to a bound, without awaiting each."""
+        now = self.engine.now()
+        for _ in range(BATCH_PACKETS):
+            try:
+                data = self.socket.recv(DATAGRAM_BYTES)
+            except BlockingIOError:
+                break
+            except OSError as error:
+                self.journal.emit(PACKET_SOCKET_FAILED.emit(reason=str(error)))
+                break
+            packet = read_packet(data)
+            if isinstance(packet, BadPacket):
+                self.router.counters[f"refused-{packet.value}"] += 1
+                continue
+            match self.router.route(packet, now):
+                case ForwardTo(address=address, token=token, cookie=cookie):
+                    self._send_datagram(wrap_packet(data, token, cookie), address)
+                case ResetFlow():
+                    host, reset = make_reset(data)
+                    self._send_datagram(reset, (host, self.client_port))
+        if self.router.effects:
+            self.engine.carry_out(self.router.take_effects())
+
+    def _send_datagram(self, data: bytes, address: tuple[str, int]) -> None:
+        """Send a datagram; a full socket buffer loses it, as a network may."""
+        try:
+            self.socket.sendto(data, address)
+        except BlockingIOError:
+            self.router.counters["lost-socket-full"] += 1
+        except OSError as error:
+            self.journal.emit(PACKET_SOCKET_FAILED.emit(reason=str(error)))
+
+
+def open_packet_socket(endpoint: Endpoint) -> socket.socket:
+    """Open the UDP socket to which the fabric sends packets."""
+    packet_socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    packet_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
+    packet_socket.setblocking(False)
+    packet_socket.bind((endpoint.host, endpoint.port))
+    return packet_socket
+
+
+async def run_balancer(settings: NodeSettings, journal: Journal) -> None:
+    """Run the balancer role until a stop."""
+    await BalancerRole(settings, journal).run()
--- /dev/null
+++ b/chicorypost/roles/_control.py
@@ -0,0 +1,258 @@
+"""The control role: replicated configuration, calls of upstreams and operators, feed."""
+
+import time
+from functools import partial
+from pathlib import Path
+from random import Random
+from typing import Any
+from uuid import uuid4
+
+import trio
+
+from chicorypost import __version__
+from chicorypost.announcements import (
+    Announced,
+    AnnouncementDone,
+    AnnouncementKeeper,
+    AnnouncementSettings,
+    PeerGone,
+    PeerReached,
+    PeersChanged,
+    VersionApplied,
+)
+from chicorypost.base import Effect, Endpoint, Event, Incarnation, InstanceId, Message
+from chicorypost.consensus import (
+    Apply,
+    ChangeMembership,
+    ContactsChanged,
+    Persist,
+    ProposalAccepted,
+    ProposalRefused,
+    ReadReady,
+    ReadRefused,
+    ReplicaSettings,
+    RestoreSnapshot,
+    Role,
+    SnapshotTaken,
+    StewardSettings,
+    TakeSnapshot,
+)
+from chicorypost.daemons import Engine, Part
+from chicorypost.daemons._engine import messages_in
+from chicorypost.daemons._events import STARTED
+from chicorypost.daemons._stop import StopControl
+from chicorypost.platform import NodeSettings, read_configuration
+from chicorypost.roles._control_calls import ControlCalls
+from chicorypost.roles._events import MEMBERSHIP_REPAIR, ROUTING_APPLIED
+from chicorypost.roles._process import Journal, network_settings, resolve_control
+from chicorypost.roles._replica_host import HOST_EVENTS, DiskWriter, ReplicaHost
+from chicorypost.roles._settings_file import watch_settings
+from chicorypost.roles._waiters import Waiters
+from chicorypost.routing import RoutingState
+from chicorypost.transport import (
+    Hello,
+    HttpServer,
+    HttpSettings,
+    PeerNetwork,
+    TlsContexts,
+    TlsSettings,
+)
+
+CONSENSUS_TAGS = range(100, 200)
+ANNOUNCEMENT_TAGS = range(800, 900)
+
+HEARTBEAT_SECONDS = 0.25
+"""Interval of the leader's heartbeats: four fit into an election time-out."""
+ELECTION_SECONDS = 1.0
+"""Least time without a leader before an election; far above the round trip of one region."""
+REPAIR_SECONDS = 0.25
+"""How often the leader looks whether the membership needs a repair."""
+SNAPSHOT_RECORDS = 64
+TRAILING_RECORDS = 32
+"""Configurations are whole documents, so few of them are kept in memory."""
+MAX_DOCUMENT_BYTES = 2 * 1024 * 1024
+"""Largest configuration; thousands of routes."""
+STOP_SECONDS = 1.5
+"""How long calls under way may take once a stop has begun."""
+
+
+class ControlRole:
+    """One control instance on the platform.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        Settings of this process.
+    journal : Journal
+        Takes log events.
+    """
+
+    def __init__(self, settings: NodeSettings, journal: Journal) -> None:
+        assert settings.control is not None and settings.data_folder is not None
+        self.settings = settings
+        self.journal = journal
+        self.instance = InstanceId(f"{settings.control.host}:{settings.control.port}")
+        self.engine = Engine(self._send, journal.emit, self._execute)
+        self.stop = StopControl(STOP_SECONDS, journal.emit)
+        self.state = RoutingState(read_configuration)
+        self.waiters = Waiters(self.engine)
+        random = Random()
+        self.host = ReplicaHost(_replica_settings(settings), self.instance, random)
+        self.writer = DiskWriter(Path(settings.data_folder), self.engine, journal.emit)
+        self.steward = StewardSettings(voters=2 * settings.lost_disks + 1)
+        announcements = AnnouncementSettings(interval_seconds=settings.announcement_seconds)
+        feed = random.getrandbits(48) + 1
+        self.keeper = AnnouncementKeeper(announcements, feed, self.engine.now())
+        self.known_peers: tuple[InstanceId, ...] = ()
+        self.balancers: set[InstanceId] = set()
+        self._add_parts()
+        self.network = self._make_network()
+        self.server = self._make_server()
+
+    def _add_parts(self) -> None:
+        host_events = tuple(event for event in HOST_EVENTS)
+        log = Part("log", self.host, messages_in(CONSENSUS_TAGS), host_events)
+        self.engine.add(log)
+        told = (Announced, PeersChanged, PeerReached, PeerGone, VersionApplied)
+        messages = messages_in(ANNOUNCEMENT_TAGS)
+        self.engine.add(Part("announcements", self.keeper, messages, told))
+
+    def _make_network(self) -> PeerNetwork:
+        settings = self.settings
+        hello = Hello(
+            self.instance,
+            Incarnation(time.time_ns() // 1_000_000),
+            settings.data_centre,
+            Endpoint(settings.host, settings.peer_port),
+        )
+        tls = TlsContexts(TlsSettings(off=True), self.journal.emit)
+        return PeerNetwork(
+            network_settings(),
+            hello,
+            tls,
+            self.engine.receive,
+            self.journal.emit,
+            resolve=partial(resolve_control, port=settings.peer_port),
+            on_connected=self._note_connected,
+            on_lost=self._note_lost,
+        )
+
+    def _make_server(self) -> HttpServer:
+        calls = ControlCalls(self.instance, self.host, self.state, self.waiters, self.journal)
+        http = HttpSettings(body_bytes=MAX_DOCUMENT_BYTES)
+        return HttpServer("control", http, calls.handle, self.journal.emit)
+
+    def _note_connected(self, peer: InstanceId) -> None:
+        self.engine.post(PeerReached(peer))
+
+    def _note_lost(self, peer: InstanceId) -> None:
+        self.engine.post(PeerGone(peer))
+
+    def _send(self, to: InstanceId, message: Message) -> None:
+        # Balancers don't listen: without their connection there is nowhere to send to.
+        if to == self.instance or ":" in to or self.network.is_connected(to):
+            self.network.send(to, message)
+
+    def _execute(self, effect: Effect) -> None:
+        match effect:
+            case Persist():
+                self.writer.write(effect)
+            case Apply(command=command):
+                if self.state.apply(command):
+                    self._tell_version()
+            case RestoreSnapshot(data=data):
+                if self.state.restore(data):
+                    self._tell_version()
+            case TakeSnapshot(index=index):
+                self.engine.post(SnapshotTaken(index, self.state.snapshot()))
+            case ProposalAccepted(proposal=name) | ProposalRefused(proposal=name):
+                self.waiters.answer(name, effect)
+            case ReadReady(read=name) | ReadRefused(read=name):
+                self.waiters.answer(name, effect)
+            case AnnouncementDone(call=name):
+                self.waiters.answer(name, effect)
+            case Event():
+                pass
+            case _:
+                raise AssertionError(f"effect is not known: {effect!r}")
+
+    def _tell_version(self) -> None:
+        assert self.state.document is not None
+        self.journal.emit(ROUTING_APPLIED.emit(version=self.state.version))
+        self.engine.post(VersionApplied(self.state.document))
+
+    def dump(self) -> dict[str, Any]:
+        """Return the whole decision state of this process."""
+        return {"id": self.instance, "version": self.state.version, **self.engine.dump()}
+
+    async def run(self) -> None:
+        """Serve until a stop."""
+        settings = self.settings
+        assert settings.control is not None
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self.stop.run, self._drain, nursery.cancel_scope)
+            peers = await trio.open_tcp_listeners(settings.peer_port, host=settings.host)
+            await nursery.start(self.network.run, peers[0])
+            callers = await trio.open_tcp_listeners(settings.control.port, host=settings.host)
+            serve = partial(trio.serve_listeners, self.server.serve, callers)
+            nursery.start_soon(serve)
+            nursery.start_soon(self.writer.run)
+            nursery.start_soon(self._repair_membership)
+            watch = partial(watch_settings, settings, self._change_settings, self.journal.emit)
+            nursery.start_soon(watch)
+            self.journal.emit(STARTED.emit(role="control", version=__version__))
+            self.engine.reschedule()
+            nursery.start_soon(self.engine.run_timer)
+
+    def _change_settings(self, settings: NodeSettings) -> None:
+        self.settings = settings
+        self.engine.post(ContactsChanged(settings.seeds))
+
+    async def _repair_membership(self) -> None:
+        """Follow the membership, and as leader repair it."""
+        while True:
+            await trio.sleep(REPAIR_SECONDS)
+            replica = self.host.replica
+            if replica is None:
+                continue
+            members = {member.instance for member in replica.members.members}
+            controls = tuple(sorted(members | {self.instance}))
+            if controls != self.known_peers:
+                self._follow_members(controls)
+            if replica.role is Role.LEADER:
+                change = replica.plan_repair(self.steward)
+                if change is not None:
+                    self.journal.emit(MEMBERSHIP_REPAIR.emit(change=repr(change)))
+                    self.engine.post(ChangeMembership(uuid4().hex, change))
+
+    def _follow_members(self, controls: tuple[InstanceId, ...]) -> None:
+        for former in set(self.known_peers) - set(controls):
+            self.network.forget(former)
+        self.known_peers = controls
+        others = tuple(name for name in controls if name != self.instance)
+        for name in others:
+            self.network.keep(name)
+        self.engine.post(PeersChanged(others, controls))
+
+    async def _drain(self) -> None:
+        """Finish the calls under way."""
+        self.server.stop()
+        while self.server.in_progress:
+            await trio.sleep(0.02)
+
+
+def _replica_settings(settings: NodeSettings) -> ReplicaSettings:
+    return ReplicaSettings(
+        founding_members=settings.seeds if settings.founds else (),
+        contacts=settings.seeds,
+        heartbeat_seconds=HEARTBEAT_SECONDS,
+        election_seconds=ELECTION_SECONDS,
+        max_command_bytes=MAX_DOCUMENT_BYTES,
+        snapshot_interval_records=SNAPSHOT_RECORDS,
+        trailing_records=TRAILING_RECORDS,
+    )
+
+
+async def run_control(settings: NodeSettings, journal: Journal) -> None:
+    """Run the control role until a stop."""
+    await ControlRole(settings, journal).run()
--- /dev/null
+++ b/chicorypost/roles/_replica_host.py
@@ -0,0 +1,178 @@
+"""A replica whose disk may fail: it goes on without a vote and comes back when the disk does."""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import trio
+
+from chicorypost.base import Effect, Event, InstanceId, Instant, Received
+from chicorypost.consensus import (
+    ChangeMembership,
+    ContactsChanged,
+    Persist,
+    Persisted,
+    ProposalRefused,
+    Propose,
+    Read,
+    ReadRefused,
+    RecoveredState,
+    RefusalReason,
+    Replica,
+    ReplicaSettings,
+    ReplicaStorage,
+    SnapshotTaken,
+    StorageDamage,
+)
+from chicorypost.daemons import Engine
+from chicorypost.events import Emit
+from chicorypost.roles._events import DISK_FAILED, DISK_WORKS
+
+RETRY_SECONDS = 0.5
+"""Pause before a disk that refused is tried again."""
+
+
+@dataclass(frozen=True, slots=True)
+class DiskRecovered(Event):
+    """The data folder was read, and the disk takes writes."""
+
+    recovered: RecoveredState
+
+
+@dataclass(frozen=True, slots=True)
+class DiskFailed(Event):
+    """A write failed: what is on the disk isn't known until it is read again."""
+
+    reason: str
+
+
+class ReplicaHost:
+    """The replica while there is one; refuses proposals and reads while there is none.
+
+    Parameters
+    ----------
+    settings : ReplicaSettings
+        Settings of the replica.
+    instance : InstanceId
+        This instance.
+    random : Random
+        Source of randomness.
+    """
+
+    def __init__(self, settings: ReplicaSettings, instance: InstanceId, random: Random) -> None:
+        self.settings = settings
+        self.instance = instance
+        self.random = random
+        self.contacts = settings.contacts
+        self.replica: Replica | None = None
+
+    def handle(self, event: Event, now: Instant) -> list[Effect]:
+        """Take one event and return the effects, in the order to carry them out."""
+        match event:
+            case DiskRecovered(recovered):
+                self.replica = Replica(self.settings, self.instance, recovered, self.random, now)
+                event = ContactsChanged(self.contacts)
+            case DiskFailed():
+                self.replica = None
+                return []
+            case ContactsChanged(contacts):
+                self.contacts = contacts
+        if self.replica is not None:
+            return self.replica.handle(event, now)
+        match event:
+            case Propose(proposal) | ChangeMembership(proposal):
+                return [ProposalRefused(proposal, RefusalReason.OUT_OF_TOUCH, None)]
+            case Read(read):
+                return [ReadRefused(read, RefusalReason.OUT_OF_TOUCH, None)]
+        return []
+
+    def next_deadline(self) -> Instant | None:
+        """Return when the replica next wants a `Tick`."""
+        return self.replica.next_deadline() if self.replica is not None else None
+
+    def dump(self) -> dict[str, Any]:
+        """Return the whole decision state as values that JSON can hold."""
+        return self.replica.dump() if self.replica is not None else {"role": "no-disk"}
+
+
+HOST_EVENTS = (
+    Propose,
+    Read,
+    ChangeMembership,
+    ContactsChanged,
+    Persisted,
+    SnapshotTaken,
+    DiskRecovered,
+    DiskFailed,
+    Received,
+)
+
+
+class DiskWriter:
+    """Carries out the writes of the replica in a thread, in order.
+
+    Parameters
+    ----------
+    folder : Path
+        The data folder.
+    engine : Engine
+        Told of finished writes, of failures and of recovery.
+    emit : callable
+        Takes log events.
+    """
+
+    def __init__(self, folder: Path, engine: Engine, emit: Callable[[Emit], None]) -> None:
+        self.folder = folder
+        self.engine = engine
+        self.emit = emit
+        self.storage: ReplicaStorage | None = None
+        self.queue: deque[Persist] = deque()
+        self.wake = trio.Event()
+
+    def write(self, persist: Persist) -> None:
+        """Queue a write."""
+        self.queue.append(persist)
+        self.wake.set()
+
+    async def run(self) -> None:
+        """Recover the data folder and write until cancelled, again after each failure."""
+        failed = ""
+        while True:
+            try:
+                recovered = await trio.to_thread.run_sync(self._recover, abandon_on_cancel=True)
+                if isinstance(recovered, StorageDamage):
+                    raise OSError(f"{recovered.kind.value}: {recovered.file}: {recovered.detail}")
+                failed = ""
+                self.queue.clear()
+                self.emit(DISK_WORKS.emit(generation=recovered.generation))
+                self.engine.post(DiskRecovered(recovered))
+                await self._write_queue()
+            except OSError as error:
+                if str(error) != failed:
+                    self.emit(DISK_FAILED.emit(reason=str(error)))
+                failed = str(error)
+                self.engine.post(DiskFailed(failed))
+            await trio.sleep(RETRY_SECONDS)
+
+    def _recover(self) -> RecoveredState | StorageDamage:
+        files = self.storage.files if self.storage is not None else None
+        self.storage = ReplicaStorage(self.folder, files)
+        return self.storage.recover()
+
+    async def _write_queue(self) -> None:
+        while True:
+            self.wake = trio.Event()
+            if not self.queue:
+                await self.wake.wait()
+            batch = list(self.queue)
+            self.queue.clear()
+            await trio.to_thread.run_sync(self._write_batch, batch, abandon_on_cancel=True)
+            self.engine.post(Persisted(batch[-1].write))
+
+    def _write_batch(self, batch: list[Persist]) -> None:
+        assert self.storage is not None
+        for persist in batch:
+            self.storage.write(persist)
--- /dev/null
+++ b/chicorypost/roles/_settings_file.py
@@ -0,0 +1,50 @@
+"""The settings file of a role, read at start and whenever it has changed."""
+
+import os
+from collections.abc import Callable
+from pathlib import Path
+
+import trio
+
+from chicorypost.events import Emit
+from chicorypost.platform import (
+    SETTINGS_VARIABLE,
+    NodeSettings,
+    NodeSettingsMistake,
+    read_node_settings,
+)
+from chicorypost.roles._events import SETTINGS_CHANGED, SETTINGS_REFUSED
+
+LOOK_SECONDS = 1.0
+"""How often the file is looked at; it may change without a signal."""
+
+
+def load_node_settings() -> NodeSettings | NodeSettingsMistake:
+    """Read the settings file that the environment names."""
+    path = os.environ.get(SETTINGS_VARIABLE)
+    if path is None:
+        return NodeSettingsMistake(f"the variable {SETTINGS_VARIABLE} isn't set")
+    try:
+        return read_node_settings(Path(path).read_bytes())
+    except OSError as error:
+        return NodeSettingsMistake(str(error))
+
+
+async def watch_settings(
+    settings: NodeSettings,
+    changed: Callable[[NodeSettings], None],
+    emit: Callable[[Emit], None],
+) -> None:
+    """Call `changed` with the new settings whenever the content of the file has changed."""
+    refused = ""
+    while True:
+        await trio.sleep(LOOK_SECONDS)
+        found = load_node_settings()
+        if isinstance(found, NodeSettingsMistake):
+            if found.detail != refused:
+                emit(SETTINGS_REFUSED.emit(reason=found.detail))
+            refused = found.detail
+        elif found != settings:
+            settings, refused = found, ""
+            emit(SETTINGS_CHANGED.emit(seeds=" ".join(settings.seeds)))
+            changed(settings)
--- a/chicorypost/transport/_peers.py
+++ b/chicorypost/transport/_peers.py
@@ -22,6 +22,17 @@
 
 Receiver = Callable[[InstanceId, Message], None]
 
+NOT_LISTENING = 0
+"""Port in the hello of a process that takes no connections from peers."""
+
+
+def _ignore(instance: InstanceId) -> None:
+    return None
+
+
+def _resolve_none(instance: InstanceId) -> Endpoint | None:
+    return None
+
 
 @dataclass(slots=True)
 class PeerLink:
@@ -34,6 +45,17 @@
     sent: int = 0
     sent_bytes: int = 0
     dropped: int = 0
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    """Ends the task that keeps the connection; unused for a peer that dials us."""
+
+    def offer(self, message: Message) -> bool:
+        """Queue a message; return False if the queue is full."""
+        try:
+            self.send_channel.send_nowait(message)
+        except trio.WouldBlock:
+            self.dropped += 1
+            return False
+        return True
 
 
 @dataclass(slots=True)
@@ -41,7 +63,8 @@
     """Sends messages to instances by id and hands received ones to a receiver.
 
     Messages may be lost: when a peer can't be reached or its queue is full they are dropped. The
-    state machines resend whatever has to arrive.
+    state machines resend whatever has to arrive. A peer whose hello names port 0 doesn't listen:
+    what is sent to it goes back over the connection that it has opened.
 
     Parameters
     ----------
@@ -55,6 +78,10 @@
         Called with the sender and the message, on the loop.
     emit : callable
         Takes log events.
+    resolve : callable, optional
+        Returns where an instance listens if no address was learned, or None.
+    on_connected, on_lost : callable, optional
+        Called with an instance when a connection to it opens or ends.
     """
 
     settings: TransportSettings
@@ -62,6 +89,9 @@
     tls: TlsContexts
     receive: Receiver
     emit: Callable[[Emit], None]
+    resolve: Callable[[InstanceId], Endpoint | None] = _resolve_none
+    on_connected: Callable[[InstanceId], None] = _ignore
+    on_lost: Callable[[InstanceId], None] = _ignore
     addresses: dict[InstanceId, Endpoint] = field(default_factory=dict)
     links: dict[InstanceId, PeerLink] = field(default_factory=dict)
     accepted: int = 0
@@ -80,39 +110,71 @@
             self.receive(to, message)
             return
         link = self.links.get(to) or self._open_link(to)
-        try:
-            link.send_channel.send_nowait(message)
-        except trio.WouldBlock:
-            link.dropped += 1
-            if link.dropped & (link.dropped - 1) == 0:
-                self.emit(QUEUE_FULL.emit(peer=to))
+        # The event is logged at the first, second, fourth ... lost message.
+        if not link.offer(message) and link.dropped & (link.dropped - 1) == 0:
+            self.emit(QUEUE_FULL.emit(peer=to))
+
+    def is_connected(self, instance: InstanceId) -> bool:
+        """Return whether the connection to an instance is open."""
+        link = self.links.get(instance)
+        return link is not None and link.connected
+
+    def keep(self, to: InstanceId) -> None:
+        """Keep a connection to an instance open, also while nothing is sent."""
+        if to != self.hello.instance and to not in self.links:
+            self._open_link(to)
+
+    def forget(self, instance: InstanceId) -> None:
+        """Close the connection to an instance and stop dialling it."""
+        link = self.links.pop(instance, None)
+        if link is not None:
+            link.scope.cancel()
+
+    def _make_link(self, peer: InstanceId) -> PeerLink:
+        link = PeerLink(peer, *trio.open_memory_channel[Message](self.settings.queue_messages))
+        self.links[peer] = link
+        return link
 
     def _open_link(self, to: InstanceId) -> PeerLink:
         assert self.nursery is not None, "send was called before run"
-        channels = trio.open_memory_channel[Message](self.settings.queue_messages)
-        link = PeerLink(to, *channels)
-        self.links[to] = link
+        link = self._make_link(to)
         self.nursery.start_soon(self._keep_link, link)
         return link
 
     async def run(
         self,
-        listener: trio.SocketListener,
+        listener: trio.SocketListener | None,
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Accept and dial connections until cancelled; `send` may be called once it has started."""
+        """Accept and dial connections until cancelled; `send` may be called once it has started.
+
+        Without a listener this process only dials.
+        """
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
             task_status.started()
-            await trio.serve_listeners(self._accept, [listener], handler_nursery=nursery)
+            if listener is None:
+                await trio.sleep_forever()
+            else:
+                await trio.serve_listeners(self._accept, [listener], handler_nursery=nursery)
 
     async def _keep_link(self, link: PeerLink) -> None:
-        while True:
-            reason = await self._use_link(link)
-            if link.connected:
-                link.connected = False
-                self.emit(PEER_LOST.emit(peer=link.peer, reason=reason))
-            await trio.sleep(self.settings.redial_seconds)
+        with link.scope:
+            while True:
+                reason = await self._use_link(link)
+                self._note_lost(link, reason)
+                await trio.sleep(self.settings.redial_seconds)
+
+    def _note_connected(self, link: PeerLink) -> None:
+        link.connected = True
+        self.emit(PEER_CONNECTED.emit(peer=link.peer))
+        self.on_connected(link.peer)
+
+    def _note_lost(self, link: PeerLink, reason: str) -> None:
+        if link.connected:
+            link.connected = False
+            self.emit(PEER_LOST.emit(peer=link.peer, reason=reason))
+            self.on_lost(link.peer)
 
     async def _use_link(self, link: PeerLink) -> str:
         stream = await self._dial(link.peer)
@@ -123,18 +185,17 @@
         try:
             async with stream, trio.open_nursery() as nursery:
                 await stream.send_all(encode_frame(self.hello))
-                link.connected = True
-                self.emit(PEER_CONNECTED.emit(peer=link.peer))
+                self._note_connected(link)
                 nursery.start_soon(self._send_queue, link, stream)
                 nursery.start_soon(self._queue_heartbeats, link)
-                reason = await self._watch_replies(stream)
+                reason = await self._watch_replies(link.peer, stream)
                 nursery.cancel_scope.cancel()
         except* (OSError, trio.BrokenResourceError, trio.ClosedResourceError) as errors:
             reason = repr(errors.exceptions[0])
         return reason
 
     async def _dial(self, peer: InstanceId) -> trio.abc.Stream | None:
-        endpoint = self.addresses.get(peer)
+        endpoint = self.addresses.get(peer) or self.resolve(peer)
         if endpoint is None:
             return None
         try:
@@ -168,15 +229,23 @@
                 link.send_channel.send_nowait(Heartbeat(number))
             await trio.sleep(self.settings.heartbeat_seconds)
 
-    async def _watch_replies(self, stream: trio.abc.Stream) -> str:
+    async def _watch_replies(self, peer: InstanceId, stream: trio.abc.Stream) -> str:
         reader = FrameReader(stream)
         while True:
             with trio.move_on_after(self.settings.silence_seconds) as scope:
                 message = await reader.receive()
             if scope.cancelled_caught:
                 return "silent"
-            if not isinstance(message, HeartbeatReply):
-                return "closed by peer" if isinstance(message, EndOfStream) else repr(message)
+            match message:
+                case EndOfStream():
+                    return "closed by peer"
+                case Undecodable():
+                    return repr(message)
+                case HeartbeatReply():
+                    pass
+                case Message():
+                    self.received += 1
+                    self.receive(peer, message)
 
     async def _accept(self, tcp: trio.SocketStream) -> None:
         if self.accepted >= self.settings.connections:
@@ -204,10 +273,28 @@
                 self._refuse("unknown", f"first message is not a hello: {hello!r:.200}")
             elif names is not None and hello.instance not in names:
                 self._refuse(hello.instance, f"certificate is for {sorted(names)}")
+            elif hello.control.port == NOT_LISTENING:
+                await self._serve_dialler(hello.instance, reader, stream)
             else:
                 self.learn_address(hello.instance, hello.control)
                 await self._receive_messages(hello.instance, reader, stream)
 
+    async def _serve_dialler(
+        self, peer: InstanceId, reader: FrameReader, stream: trio.abc.Stream
+    ) -> None:
+        """Exchange messages in both directions with a peer that doesn't listen."""
+        link = self._make_link(peer)
+        self._note_connected(link)
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._send_queue, link, stream)
+                await self._receive_messages(peer, reader, stream, link)
+                nursery.cancel_scope.cancel()
+        finally:
+            if self.links.get(peer) is link:
+                del self.links[peer]
+            self._note_lost(link, "closed")
+
     async def _secure(
         self, tcp: trio.SocketStream
     ) -> tuple[trio.abc.Stream, set[str] | None] | None:
@@ -225,7 +312,11 @@
         return stream, certificate_names(stream.getpeercert())
 
     async def _receive_messages(
-        self, peer: InstanceId, reader: FrameReader, stream: trio.abc.Stream
+        self,
+        peer: InstanceId,
+        reader: FrameReader,
+        stream: trio.abc.Stream,
+        link: PeerLink | None = None,
     ) -> None:
         while True:
             with trio.move_on_after(self.settings.silence_seconds) as scope:
@@ -236,6 +327,8 @@
                 case Undecodable():
                     self._refuse(peer, f"{message.fault.value}: {message.detail}")
                     return
+                case Heartbeat(number=number) if link is not None:
+                    link.offer(HeartbeatReply(number))
                 case Heartbeat(number=number):
                     with trio.fail_after(self.settings.silence_seconds):
                         await stream.send_all(encode_frame(HeartbeatReply(number)))
--- a/chicorypost/transport/_settings.py
+++ b/chicorypost/transport/_settings.py
@@ -1,13 +1,14 @@
 """Settings of connections between processes and of HTTP listeners."""
 
+from dataclasses import dataclass
 from pathlib import Path
+from typing import Annotated
 
-from pydantic import Field, model_validator
+from annotated_types import Ge, Gt, Le
 
-from chicorypost.base import Settings
 
-
-class TlsSettings(Settings):
+@dataclass(frozen=True)
+class TlsSettings:
     """Mutual TLS; `off` must be said explicitly.
 
     Parameters
@@ -18,13 +19,14 @@
         PEM files of this process's certificate chain, its private key and the trusted authority.
     """
 
+    __pydantic_config__ = {"extra": "forbid"}
+
     off: bool = False
     certificate: Path | None = None
     key: Path | None = None
     authority: Path | None = None
 
-    @model_validator(mode="after")
-    def check_files(self) -> "TlsSettings":
+    def __post_init__(self) -> None:
         """Require all three files unless TLS is off."""
         files = (self.certificate, self.key, self.authority)
         if self.off and any(files):
@@ -34,10 +36,10 @@
                 "tls needs certificate, key and authority; allowed without them is only "
                 '{"off": true}'
             )
-        return self
 
 
-class TransportSettings(Settings):
+@dataclass(frozen=True)
+class TransportSettings:
     """Connections between our processes.
 
     Parameters
@@ -56,25 +58,26 @@
         Connections accepted by one listener at a time.
     """
 
-    heartbeat_seconds: float = Field(default=1.0, gt=0, le=60)
-    silence_seconds: float = Field(default=3.0, gt=0, le=300)
-    dial_seconds: float = Field(default=1.0, gt=0, le=60)
-    redial_seconds: float = Field(default=0.25, gt=0, le=60)
-    queue_messages: int = Field(default=2048, ge=1)
-    connections: int = Field(default=2000, ge=1)
+    __pydantic_config__ = {"extra": "forbid"}
 
-    @model_validator(mode="after")
-    def check_silence(self) -> "TransportSettings":
+    heartbeat_seconds: Annotated[float, Gt(0), Le(60)] = 1.0
+    silence_seconds: Annotated[float, Gt(0), Le(300)] = 3.0
+    dial_seconds: Annotated[float, Gt(0), Le(60)] = 1.0
+    redial_seconds: Annotated[float, Gt(0), Le(60)] = 0.25
+    queue_messages: Annotated[int, Ge(1)] = 2048
+    connections: Annotated[int, Ge(1)] = 2000
+
+    def __post_init__(self) -> None:
         """Require room for a lost heartbeat before a connection counts as silent."""
         if self.silence_seconds < 2 * self.heartbeat_seconds:
             raise ValueError(
                 f"silence_seconds is {self.silence_seconds}, allowed is at least twice "
                 f"heartbeat_seconds ({self.heartbeat_seconds})"
             )
-        return self
 
 
-class HttpSettings(Settings):
+@dataclass(frozen=True)
+class HttpSettings:
     """One HTTP listener.
 
     Parameters
@@ -91,8 +94,10 @@
         Connections accepted at a time.
     """
 
-    body_bytes: int = Field(default=1024 * 1024, ge=0)
-    header_bytes: int = Field(default=16 * 1024, ge=256)
-    read_seconds: float = Field(default=10.0, gt=0)
-    idle_seconds: float = Field(default=60.0, gt=0)
-    connections: int = Field(default=10_000, ge=1)
+    __pydantic_config__ = {"extra": "forbid"}
+
+    body_bytes: Annotated[int, Ge(0)] = 1024 * 1024
+    header_bytes: Annotated[int, Ge(256)] = 16 * 1024
+    read_seconds: Annotated[float, Gt(0)] = 10.0
+    idle_seconds: Annotated[float, Gt(0)] = 60.0
+    connections: Annotated[int, Ge(1)] = 10_000
