Test connections of peers that don't listen

Cause: PeerNetwork answers over a peer's own connection and tells of connections; neither was tested. Ruled out: nothing. Change: three tests on loopback. Conclusion: a newer connection stays when the former one ends.

--- a/chicorypost/roles/tests/test_settings_file.py
+++ b/chicorypost/roles/tests/test_settings_file.py
@@ -3,6 +3,7 @@
 import json
 import os
 import signal
+from typing import Any
 
 import pytest
 import trio
@@ -22,7 +23,8 @@
 
 
 def watch(scenario):
-    changes, log = [], []
+    changes: list[Any] = []
+    log: list[Any] = []
 
     async def main():
         settings = load_node_settings()
--- a/chicorypost/transport/tests/test_transport.py
+++ b/chicorypost/transport/tests/test_transport.py
@@ -214,3 +214,111 @@
 
     run(scenario)
     assert ("peer-lost", "silent") in [(e.spec.name, e.fields.get("reason")) for e in log]
+
+
+async def start_dialler(nursery, name, receive, log, resolve, connected):
+    hello = Hello(InstanceId(name), Incarnation(1), DataCentreId("gent"), Endpoint("127.0.0.1", 0))
+    tls = TlsContexts(TlsSettings(off=True), log.append)
+    settings = TransportSettings(redial_seconds=0.02)
+    network = PeerNetwork(
+        settings, hello, tls, receive, log.append, resolve=resolve, on_connected=connected
+    )
+    await nursery.start(network.run, None)
+    return network
+
+
+def test_a_peer_that_does_not_listen_is_answered_over_its_own_connection():
+    log: list[object] = []
+    got: list[object] = []
+
+    async def scenario(nursery):
+        answered = trio.Event()
+
+        def serve(sender, message):
+            server.send(sender, Note(f"re: {message.text}"))
+
+        def take(sender, message):
+            got.append((sender, message))
+            answered.set()
+
+        server = await start_network(nursery, "server", serve, log)
+        dialler = await start_dialler(
+            nursery, "dialler", take, log, lambda _: server.hello.control, lambda _: None
+        )
+        dialler.send(InstanceId("server"), Note("question"))
+        await answered.wait()
+        assert server.is_connected(InstanceId("dialler"))
+
+    run(scenario)
+    assert got == [("server", Note("re: question"))]
+
+
+def test_connections_that_are_lost_are_told_and_opened_again():
+    log: list[object] = []
+    events: list[str] = []
+
+    async def scenario(nursery):
+        listener_scope = trio.CancelScope()
+
+        async def serve_once():
+            with listener_scope:
+                await trio.serve_listeners(hang_up, listeners)
+
+        async def hang_up(stream):
+            await stream.receive_some()
+            await stream.aclose()
+
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        nursery.start_soon(serve_once)
+        twice = trio.Event()
+
+        def connected(peer):
+            events.append("connected")
+            if len(events) >= 2:
+                twice.set()
+
+        endpoint = endpoint_of(listeners[0])
+        dialler = await start_dialler(
+            nursery, "dialler", lambda *_: None, log, lambda _: endpoint, connected
+        )
+        dialler.keep(InstanceId("server"))
+        await twice.wait()
+        dialler.forget(InstanceId("server"))
+        await trio.testing.wait_all_tasks_blocked()
+        assert not dialler.is_connected(InstanceId("server"))
+
+    run(scenario)
+
+
+def test_a_dialler_that_connects_again_replaces_its_former_connection():
+    log: list[object] = []
+    got: list[object] = []
+
+    async def scenario(nursery):
+        answered = trio.Event()
+
+        def take(sender, message):
+            got.append(message)
+            answered.set()
+
+        server = await start_network(nursery, "server", lambda *_: None, log)
+        name, endpoint = InstanceId("dialler"), server.hello.control
+        former = await trio.open_tcp_stream(endpoint.host, endpoint.port)
+        hello = Hello(name, Incarnation(1), DataCentreId("gent"), Endpoint("127.0.0.1", 0))
+        await former.send_all(encode_frame(hello))
+        await trio.testing.wait_all_tasks_blocked()
+        dialler = await start_dialler(
+            nursery, "dialler", take, log, lambda _: endpoint, lambda _: None
+        )
+        dialler.keep(InstanceId("server"))
+        while not dialler.is_connected(InstanceId("server")):
+            await trio.sleep(0.01)
+        await trio.sleep(0.05)
+        await former.aclose()
+        await trio.sleep(0.05)
+        assert server.is_connected(name)
+        server.send(name, Note("to the newer one"))
+        await answered.wait()
+
+    run(scenario)
+    assert got == [Note("to the newer one")]
