--- a/chicorypost/announcements/_feed.py
+++ b/chicorypost/announcements/_feed.py
@@ -1,6 +1,6 @@
 """The feed of a control instance: pages of changes to each balancer that subscribes."""
 
-from dataclasses import dataclass
+import msgspec
 
 from chicorypost.announcements._messages import DocumentReply, FeedPage, Subscribe
 from chicorypost.announcements._records import ListedUpstream
@@ -9,8 +9,7 @@
 from chicorypost.routing import NO_VERSION, RoutingDocument
 
 
-@dataclass(slots=True)
-class Subscriber:
+class Subscriber(msgspec.Struct):
     """One balancer: the last page sent to it, when, and until when it counts as subscribed."""
 
     position: int
--- a/chicorypost/announcements/_keeper.py
+++ b/chicorypost/announcements/_keeper.py
@@ -1,8 +1,9 @@
 """The announcement keeper of a control instance: table, spread to its peers, feed to balancers."""
 
-from dataclasses import dataclass, field
 from typing import Any
 
+import msgspec
+
 from chicorypost.announcements._feed import Feed
 from chicorypost.announcements._messages import (
     ChangesHeld,
@@ -24,6 +25,8 @@
     PeerReached,
     PeersChanged,
     Standing,
+    TableChanged,
+    TableRestored,
     VersionApplied,
 )
 from chicorypost.announcements._settings import AnnouncementSettings
@@ -41,8 +44,7 @@
 )
 
 
-@dataclass(slots=True)
-class HeldCall:
+class HeldCall(msgspec.Struct):
     """A call whose answer waits for peers to hold the change numbered `number`."""
 
     call: str
@@ -52,13 +54,12 @@
     until: Instant
 
 
-@dataclass(slots=True)
-class Spread:
+class Spread(msgspec.Struct):
     """Changes and signs of life on their way to the other control instances."""
 
     next_at: Instant
     number: int = 0
-    heard: dict[UpstreamId, HeardUpstream] = field(default_factory=dict)
+    heard: dict[UpstreamId, HeardUpstream] = msgspec.field(default_factory=dict)
 
 
 class AnnouncementKeeper:
@@ -111,6 +112,10 @@
             case PeerGone(peer):
                 self.connected.discard(peer)
                 self._confirm(peer, self.spread.number)
+            case TableRestored(listed):
+                # How long the process was down isn't known: each upstream has the time to call.
+                for item in listed:
+                    self.table.take(item.announcement, now)
             case VersionApplied(document):
                 self.effects += self.feed.set_document(document, now)
             case Tick():
@@ -119,6 +124,10 @@
                 raise TypeError(f"event is not for the keeper: got {type(event).__name__}")
         return self.effects
 
+    def list_all(self, now: Instant) -> tuple[ListedUpstream, ...]:
+        """Return the whole table."""
+        return self.table.list(now, list(self.table.entries))
+
     def next_deadline(self) -> Instant | None:
         """Return when the keeper next wants a `Tick`."""
         return min([self.spread.next_at, *(held.until for held in self.held_calls)])
@@ -171,6 +180,7 @@
         if not changed:
             return
         listed = self.table.list(now, changed)
+        self.effects.append(TableChanged())
         if spread:
             self.spread.number += 1
             for peer in self.peers:
@@ -187,14 +197,13 @@
             case SpreadHeard(heard=heard):
                 self._hear(sender, heard, now)
             case TableRequest():
-                everything = self.table.list(now, list(self.table.entries))
-                self._send(sender, TableReply(self.complete, everything))
+                self._send(sender, TableReply(self.complete, self.list_all(now)))
             case TableReply(complete=complete, listed=listed):
                 self._merge(listed, now)
                 if complete and not self.complete:
                     self._become_complete(now)
             case Subscribe():
-                everything = self.table.list(now, list(self.table.entries))
+                everything = self.list_all(now)
                 self.effects += self.feed.subscribe(sender, message, everything, self.complete, now)
             case DocumentRequest():
                 self.effects += self.feed.request_document(sender)
--- a/chicorypost/announcements/_records.py
+++ b/chicorypost/announcements/_records.py
@@ -1,8 +1,9 @@
 """What upstreams say of themselves, and its order."""
 
-from dataclasses import dataclass
 from enum import Enum
 
+import msgspec
+
 from chicorypost.base import (
     DataCentreId,
     Effect,
@@ -97,46 +98,50 @@
     """An upstream that was never announced says that it leaves."""
 
 
-@dataclass(frozen=True, slots=True)
-class Announced(Event):
+class Announced(Event, msgspec.Struct, frozen=True):
     """An upstream has called; answered by `AnnouncementDone` with the same `call`."""
 
     call: str
     content: Announcement | Leaving
 
 
-@dataclass(frozen=True, slots=True)
-class AnnouncementDone(Effect):
+class AnnouncementDone(Effect, msgspec.Struct, frozen=True):
     """The call can be answered: what it says is held by the peers that can be reached."""
 
     call: str
     outcome: AnnouncementOutcome
 
 
-@dataclass(frozen=True, slots=True)
-class PeersChanged(Event):
+class TableChanged(Effect, msgspec.Struct, frozen=True):
+    """The table should be saved, so that a restart of all control instances brings it back."""
+
+
+class TableRestored(Event, msgspec.Struct, frozen=True):
+    """What was saved of the table before the process started."""
+
+    listed: tuple[ListedUpstream, ...]
+
+
+class PeersChanged(Event, msgspec.Struct, frozen=True):
     """The other control instances, and all of them as balancers should know them."""
 
     peers: tuple[InstanceId, ...]
     controls: tuple[InstanceId, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class VersionApplied(Event):
+class VersionApplied(Event, msgspec.Struct, frozen=True):
     """This control instance has a newer configuration."""
 
     document: RoutingDocument
 
 
-@dataclass(frozen=True, slots=True)
-class PeerReached(Event):
+class PeerReached(Event, msgspec.Struct, frozen=True):
     """A connection to an instance was opened: what was sent before may be lost."""
 
     peer: InstanceId
 
 
-@dataclass(frozen=True, slots=True)
-class PeerGone(Event):
+class PeerGone(Event, msgspec.Struct, frozen=True):
     """The connection to an instance is lost."""
 
     peer: InstanceId
--- a/chicorypost/announcements/_settings.py
+++ b/chicorypost/announcements/_settings.py
@@ -1,17 +1,17 @@
 """Settings of the announcement table and of the feed."""
 
-from dataclasses import dataclass
 from typing import Annotated
 
-from annotated_types import Gt
+import msgspec
+
+from chicorypost.base import Bound
 
 SILENT_INTERVALS = 2.5
 """Announcement intervals without a call after which an upstream counts as silent: one call may be
 lost and the next one late."""
 
 
-@dataclass(frozen=True)
-class AnnouncementSettings:
+class AnnouncementSettings(msgspec.Struct, frozen=True):
     """Times of the announcement table and of the feed.
 
     Parameters
@@ -32,12 +32,12 @@
         How long an upstream that is gone is remembered, so that its late calls are known as such.
     """
 
-    interval_seconds: Annotated[float, Gt(0)] = 1.0
-    spread_seconds: Annotated[float, Gt(0)] = 0.4
-    hold_seconds: Annotated[float, Gt(0)] = 0.4
-    subscribe_seconds: Annotated[float, Gt(0)] = 1.0
-    subscriber_seconds: Annotated[float, Gt(0)] = 5.0
-    forget_seconds: Annotated[float, Gt(0)] = 120.0
+    interval_seconds: Annotated[float, Bound(gt=0)] = 1.0
+    spread_seconds: Annotated[float, Bound(gt=0)] = 0.4
+    hold_seconds: Annotated[float, Bound(gt=0)] = 0.4
+    subscribe_seconds: Annotated[float, Bound(gt=0)] = 1.0
+    subscriber_seconds: Annotated[float, Bound(gt=0)] = 5.0
+    forget_seconds: Annotated[float, Bound(gt=0)] = 120.0
 
     @property
     def silent_seconds(self) -> float:
--- a/chicorypost/announcements/_table.py
+++ b/chicorypost/announcements/_table.py
@@ -1,7 +1,6 @@
 """The table of upstreams of one control instance: order of calls, addresses and silence."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 
 import msgspec
 
@@ -18,8 +17,7 @@
 MILLISECONDS = 1000
 
 
-@dataclass(slots=True)
-class TableEntry:
+class TableEntry(msgspec.Struct):
     """One upstream: its latest call, when it was heard, and whether that is too long ago."""
 
     announcement: Announcement
--- a/chicorypost/announcements/_view.py
+++ b/chicorypost/announcements/_view.py
@@ -1,8 +1,9 @@
 """What a balancer knows of upstreams and configuration, from the feeds of all control instances."""
 
-from dataclasses import dataclass, field
 from typing import Any
 
+import msgspec
+
 from chicorypost.announcements._messages import (
     DocumentReply,
     DocumentRequest,
@@ -37,8 +38,7 @@
 several times the round trip between data centres."""
 
 
-@dataclass(frozen=True, slots=True)
-class VisibleUpstream:
+class VisibleUpstream(msgspec.Struct, frozen=True):
     """An upstream as a balancer sees it: its latest call, and whether it may be dead."""
 
     announcement: Announcement
@@ -47,36 +47,31 @@
     """Until when it is slow after its start."""
 
 
-@dataclass(frozen=True, slots=True)
-class UpstreamsSeen(Event, Effect):
+class UpstreamsSeen(Event, Effect, msgspec.Struct, frozen=True):
     """All upstreams that the balancer knows, whenever any of them has changed."""
 
     upstreams: tuple[VisibleUpstream, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class RoutingApplied(Event, Effect):
+class RoutingApplied(Event, Effect, msgspec.Struct, frozen=True):
     """A newer configuration is in force on this balancer."""
 
     document: RoutingDocument
 
 
-@dataclass(frozen=True, slots=True)
-class ControlsChanged(Effect):
+class ControlsChanged(Effect, msgspec.Struct, frozen=True):
     """The control instances to keep connections to."""
 
     controls: frozenset[InstanceId]
 
 
-@dataclass(frozen=True, slots=True)
-class SeedsChanged(Event):
+class SeedsChanged(Event, msgspec.Struct, frozen=True):
     """The control instances that the settings name."""
 
     seeds: tuple[InstanceId, ...]
 
 
-@dataclass(slots=True)
-class ControlFeed:
+class ControlFeed(msgspec.Struct):
     """What one control instance has sent."""
 
     connected: bool = True
@@ -85,7 +80,7 @@
     complete: bool = False
     version: Version = NO_VERSION
     controls: tuple[InstanceId, ...] = ()
-    listed: dict[UpstreamId, ListedUpstream] = field(default_factory=dict)
+    listed: dict[UpstreamId, ListedUpstream] = msgspec.field(default_factory=dict)
 
 
 class DirectoryView:
--- a/chicorypost/base/__init__.py
+++ b/chicorypost/base/__init__.py
@@ -1,7 +1,8 @@
 """Types shared by every part: ids, messages, the state machine interface and hashing."""
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
+from chicorypost.base._bounds import Bound
 from chicorypost.base._hashing import hash64, rendezvous_rank
 from chicorypost.base._ids import (
     Address,
@@ -22,6 +23,7 @@
     Version,
     WallTime,
 )
+from chicorypost.base._lazy import import_lazily
 from chicorypost.base._machine import Effect, Event, Received, Send, StateMachine, Tick
 from chicorypost.base._message import (
     MAX_MESSAGE_BYTES,
@@ -56,6 +58,7 @@
     "WIRE_VERSION",
     "Address",
     "AttemptId",
+    "Bound",
     "DataCentreId",
     "DecodeFault",
     "Effect",
@@ -101,11 +104,5 @@
     "unpack_record",
 ]
 
-
-def __getattr__(name: str) -> Any:
-    # Processes that take no pydantic settings start without importing pydantic.
-    if name == "Settings":
-        from chicorypost.base._settings import Settings
-
-        return Settings
-    raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+# Processes that take no pydantic settings start without importing pydantic.
+__getattr__ = import_lazily(__name__, {"Settings": "_settings"})
--- a/chicorypost/base/_machine.py
+++ b/chicorypost/base/_machine.py
@@ -1,37 +1,37 @@
 """The interface of a state machine without I/O: events in, effects out."""
 
-from dataclasses import dataclass
 from typing import Any, Protocol
 
+import msgspec
+
 from chicorypost.base._ids import InstanceId, Instant
 from chicorypost.base._message import Message
 
 
-@dataclass(frozen=True, slots=True)
 class Event:
     """Base of everything that a state machine can be told."""
 
+    __slots__ = ()
+
 
-@dataclass(frozen=True, slots=True)
 class Effect:
     """Base of everything that a state machine can ask its driver to do."""
 
+    __slots__ = ()
+
 
-@dataclass(frozen=True, slots=True)
-class Received(Event):
+class Received(Event, msgspec.Struct, frozen=True):
     """A message arrived from another instance."""
 
     sender: InstanceId
     message: Message
 
 
-@dataclass(frozen=True, slots=True)
-class Tick(Event):
+class Tick(Event, msgspec.Struct, frozen=True):
     """Time has passed; the machine compares its stored deadlines with the current time."""
 
 
-@dataclass(frozen=True, slots=True)
-class Send(Effect):
+class Send(Effect, msgspec.Struct, frozen=True):
     """Send a message to another instance; it may be lost, late, repeated or reordered."""
 
     to: InstanceId
--- a/chicorypost/base/_message.py
+++ b/chicorypost/base/_message.py
@@ -1,7 +1,6 @@
 """Typed messages between processes and their msgpack encoding."""
 
 from collections.abc import Iterator
-from dataclasses import dataclass
 from enum import Enum
 from functools import cache
 from typing import Any
@@ -36,8 +35,7 @@
     INVALID_FIELD = "invalid-field"
 
 
-@dataclass(frozen=True, slots=True)
-class Undecodable:
+class Undecodable(msgspec.Struct, frozen=True):
     """Result of decoding bytes that are not an acceptable message."""
 
     fault: DecodeFault
--- a/chicorypost/base/_topology.py
+++ b/chicorypost/base/_topology.py
@@ -1,9 +1,10 @@
 """Instances, views and upstreams as every part sees them."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 from enum import Enum
 
+import msgspec
+
 from chicorypost.base._hashing import rendezvous_rank
 from chicorypost.base._ids import (
     DataCentreId,
@@ -68,22 +69,19 @@
     state: UpstreamState
 
 
-@dataclass(frozen=True, slots=True)
-class ViewChanged(Event, Effect):
+class ViewChanged(Event, Effect, msgspec.Struct, frozen=True):
     """A data centre has a newer view: an effect of membership, an event for the other parts."""
 
     view: View
 
 
-@dataclass(frozen=True, slots=True)
-class LeaseChanged(Event, Effect):
+class LeaseChanged(Event, Effect, msgspec.Struct, frozen=True):
     """This instance may act until `end`, or not at all when `end` is None."""
 
     end: Instant | None
 
 
-@dataclass(frozen=True, slots=True)
-class UpstreamsChanged(Event, Effect):
+class UpstreamsChanged(Event, Effect, msgspec.Struct, frozen=True):
     """Upstreams were added, changed or removed: an effect of the upstream directory."""
 
     changed: tuple[Upstream, ...]
--- a/chicorypost/consensus/_core.py
+++ b/chicorypost/consensus/_core.py
@@ -2,7 +2,8 @@
 
 import random
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+
+import msgspec
 
 from chicorypost.base import Effect, InstanceId, Instant, LogIndex, Message, Send, Term
 from chicorypost.consensus import _events
@@ -26,8 +27,7 @@
 from chicorypost.consensus._writes import WriteQueue
 
 
-@dataclass(slots=True)
-class Progress:
+class Progress(msgspec.Struct):
     """What the leader knows of one other member."""
 
     member: MemberId
@@ -43,8 +43,7 @@
     silent: bool = False
 
 
-@dataclass(slots=True)
-class PendingRead:
+class PendingRead(msgspec.Struct):
     """A read that waits until a quorum has answered the message numbered `sequence`."""
 
     read: str
@@ -53,35 +52,32 @@
     """0 until the read has a place in the log."""
 
 
-@dataclass(slots=True)
-class Leadership:
+class Leadership(msgspec.Struct):
     """What only a leader keeps."""
 
     first_index: LogIndex
     """Index of the first entry of its term."""
     heartbeat_deadline: Instant
-    progress: dict[str, Progress] = field(default_factory=dict)
+    progress: dict[str, Progress] = msgspec.field(default_factory=dict)
     """Other members by generation."""
-    proposals: dict[LogIndex, str] = field(default_factory=dict)
-    reads: list[PendingRead] = field(default_factory=list)
+    proposals: dict[LogIndex, str] = msgspec.field(default_factory=dict)
+    reads: list[PendingRead] = msgspec.field(default_factory=list)
     sequence: int = 0
 
 
-@dataclass(slots=True)
-class Candidacy:
+class Candidacy(msgspec.Struct):
     """Votes gathered so far; the own one counts from `own_write` on."""
 
-    votes: set[str] = field(default_factory=set)
+    votes: set[str] = msgspec.field(default_factory=set)
     own_write: int = 0
 
 
-@dataclass(slots=True)
-class SnapshotTransfer:
+class SnapshotTransfer(msgspec.Struct):
     """A snapshot being received."""
 
     index: LogIndex
     term: Term
-    data: bytearray = field(default_factory=bytearray)
+    data: bytearray = msgspec.field(default_factory=bytearray)
 
 
 class ReplicaCore:
@@ -124,7 +120,7 @@
         self.out_of_touch_since: Instant | None = None
         self.election_deadline = now
         self.hello_deadline = now
-        self.restart_election_timer()
+        self.restart_election_timer(settings.first_election_seconds)
         self.role = self.passive_role()
 
     @property
@@ -176,10 +172,11 @@
         self.hard_state = state
         self.writes.hard_state = state
 
-    def restart_election_timer(self) -> None:
-        """Choose a new random election deadline."""
+    def restart_election_timer(self, seconds: float | None = None) -> None:
+        """Choose a new random election deadline; by default by the election time-out."""
         factor = 1.0 + self.random.random()
-        self.election_deadline = Instant(self.now + factor * self.settings.election_seconds)
+        least = self.settings.election_seconds if seconds is None else seconds
+        self.election_deadline = Instant(self.now + factor * least)
 
     def hear_leader(self, leader: InstanceId) -> None:
         """Note contact with the leader of the current term."""
--- a/chicorypost/consensus/_interface.py
+++ b/chicorypost/consensus/_interface.py
@@ -1,8 +1,9 @@
 """Events, effects and outcomes of a replica."""
 
-from dataclasses import dataclass
 from enum import Enum
 
+import msgspec
+
 from chicorypost.base import Effect, Event, InstanceId, LogIndex, Term
 from chicorypost.consensus._records import NO_INDEX, NO_STATE, Entry, HardState, Snapshot
 
@@ -42,24 +43,21 @@
     """Leadership was lost meanwhile: the proposal may or may not be accepted later."""
 
 
-@dataclass(frozen=True, slots=True)
-class AddLearner:
+class AddLearner(msgspec.Struct, frozen=True):
     """Let a member receive the log without a vote."""
 
     instance: InstanceId
     generation: str
 
 
-@dataclass(frozen=True, slots=True)
-class PromoteLearner:
+class PromoteLearner(msgspec.Struct, frozen=True):
     """Give a caught-up learner its vote; without a generation, the instance's only learner."""
 
     instance: InstanceId
     generation: str | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class RemoveMember:
+class RemoveMember(msgspec.Struct, frozen=True):
     """Remove a voter or learner; without a generation, the instance's only member."""
 
     instance: InstanceId
@@ -69,53 +67,46 @@
 MembershipChange = AddLearner | PromoteLearner | RemoveMember
 
 
-@dataclass(frozen=True, slots=True)
-class Propose(Event):
+class Propose(Event, msgspec.Struct, frozen=True):
     """Append a command to the log; answered by `ProposalAccepted` or `ProposalRefused`."""
 
     proposal: str
     command: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class Read(Event):
+class Read(Event, msgspec.Struct, frozen=True):
     """Ask for a linearizable read; answered by `ReadReady` or `ReadRefused`."""
 
     read: str
 
 
-@dataclass(frozen=True, slots=True)
-class ChangeMembership(Event):
+class ChangeMembership(Event, msgspec.Struct, frozen=True):
     """Change the membership by one member; answered like a proposal."""
 
     proposal: str
     change: MembershipChange
 
 
-@dataclass(frozen=True, slots=True)
-class ContactsChanged(Event):
+class ContactsChanged(Event, msgspec.Struct, frozen=True):
     """Whom a replica that isn't a member asks for its cluster."""
 
     contacts: tuple[InstanceId, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Persisted(Event):
+class Persisted(Event, msgspec.Struct, frozen=True):
     """All `Persist` effects up to and including this write number are synced, file and folder."""
 
     write: int
 
 
-@dataclass(frozen=True, slots=True)
-class SnapshotTaken(Event):
+class SnapshotTaken(Event, msgspec.Struct, frozen=True):
     """Answer to `TakeSnapshot`: the application's state after the entry at `index`."""
 
     index: LogIndex
     data: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class Persist(Effect):
+class Persist(Effect, msgspec.Struct, frozen=True):
     """Write to disk and sync, in the order of the write numbers, then report `Persisted`.
 
     Parameters
@@ -142,8 +133,7 @@
     commit_index: LogIndex = NO_INDEX
 
 
-@dataclass(frozen=True, slots=True)
-class Apply(Effect):
+class Apply(Effect, msgspec.Struct, frozen=True):
     """Apply a committed command; each replica applies the same commands in the same order."""
 
     index: LogIndex
@@ -151,16 +141,14 @@
     command: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class RestoreSnapshot(Effect):
+class RestoreSnapshot(Effect, msgspec.Struct, frozen=True):
     """Replace the application's state by that of a snapshot; `Apply` goes on after `index`."""
 
     index: LogIndex
     data: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class TakeSnapshot(Effect):
+class TakeSnapshot(Effect, msgspec.Struct, frozen=True):
     """Serialize the application's state, which is that after `index`; answer `SnapshotTaken`.
 
     The state must be serialized before the next `Apply` is carried out.
@@ -169,16 +157,14 @@
     index: LogIndex
 
 
-@dataclass(frozen=True, slots=True)
-class ProposalAccepted(Effect):
+class ProposalAccepted(Effect, msgspec.Struct, frozen=True):
     """The proposal is committed at `index`; it has been applied by an earlier effect."""
 
     proposal: str
     index: LogIndex
 
 
-@dataclass(frozen=True, slots=True)
-class ProposalRefused(Effect):
+class ProposalRefused(Effect, msgspec.Struct, frozen=True):
     """The proposal was not accepted, or its fate is not known (`RefusalReason.LOST`)."""
 
     proposal: str
@@ -187,16 +173,14 @@
     detail: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class ReadReady(Effect):
+class ReadReady(Effect, msgspec.Struct, frozen=True):
     """The application's state is current as of the `Read`; it includes all up to `index`."""
 
     read: str
     index: LogIndex
 
 
-@dataclass(frozen=True, slots=True)
-class ReadRefused(Effect):
+class ReadRefused(Effect, msgspec.Struct, frozen=True):
     """This replica can't tell whether its state is current."""
 
     read: str
@@ -204,8 +188,7 @@
     leader: InstanceId | None
 
 
-@dataclass(frozen=True, slots=True)
-class RecoveredState:
+class RecoveredState(msgspec.Struct, frozen=True):
     """What a replica finds on its disk when it starts.
 
     Parameters
@@ -240,8 +223,7 @@
     """There is a log but no identity or no hard state."""
 
 
-@dataclass(frozen=True, slots=True)
-class StorageDamage:
+class StorageDamage(msgspec.Struct, frozen=True):
     """The data folder can't be trusted: the process stops and an operator decides."""
 
     kind: DamageKind
--- a/chicorypost/consensus/_recovery.py
+++ b/chicorypost/consensus/_recovery.py
@@ -1,9 +1,10 @@
 """Reading a data folder: what is whole, what a crash has torn, and what is damaged."""
 
 import re
-from dataclasses import dataclass, field
 from typing import TypeVar
 
+import msgspec
+
 from chicorypost.base import LogIndex, Record, unpack_record
 from chicorypost.consensus._files import FileSystem
 from chicorypost.consensus._frames import scan_frames
@@ -40,8 +41,7 @@
     entries: tuple[Entry, ...]
 
 
-@dataclass(slots=True)
-class Segment:
+class Segment(msgspec.Struct):
     """One file of the log."""
 
     name: str
@@ -50,8 +50,7 @@
     last_index: LogIndex = NO_INDEX
 
 
-@dataclass(slots=True)
-class FolderContent:
+class FolderContent(msgspec.Struct):
     """What a data folder holds.
 
     `torn` is the segment with an interrupted last write, its size that of the whole frames.
@@ -64,9 +63,9 @@
     snapshot_file: str | None = None
     entries: tuple[Entry, ...] = ()
     commit_index: LogIndex = NO_INDEX
-    segments: list[Segment] = field(default_factory=list)
+    segments: list[Segment] = msgspec.field(default_factory=list)
     torn: Segment | None = None
-    leftovers: list[str] = field(default_factory=list)
+    leftovers: list[str] = msgspec.field(default_factory=list)
 
 
 def segment_name(number: int) -> str:
--- a/chicorypost/consensus/_steward.py
+++ b/chicorypost/consensus/_steward.py
@@ -1,11 +1,10 @@
 """Repair of the membership without an operator: voters that are lost are replaced."""
 
-from dataclasses import dataclass
 from typing import Annotated
 
-from annotated_types import Ge, Gt
+import msgspec
 
-from chicorypost.base import InstanceId
+from chicorypost.base import Bound, InstanceId
 from chicorypost.consensus._core import Progress, ReplicaCore
 from chicorypost.consensus._interface import (
     AddLearner,
@@ -16,8 +15,7 @@
 from chicorypost.consensus._records import MemberId
 
 
-@dataclass(frozen=True)
-class StewardSettings:
+class StewardSettings(msgspec.Struct, frozen=True):
     """When members are added, promoted and removed.
 
     Parameters
@@ -33,10 +31,10 @@
         An instance that hasn't asked to be added for this long isn't added.
     """
 
-    voters: Annotated[int, Ge(1)] = 3
-    replace_seconds: Annotated[float, Gt(0)] = 2.0
-    forget_seconds: Annotated[float, Gt(0)] = 20.0
-    greeting_seconds: Annotated[float, Gt(0)] = 3.0
+    voters: Annotated[int, Bound(ge=1)] = 3
+    replace_seconds: Annotated[float, Bound(gt=0)] = 2.0
+    forget_seconds: Annotated[float, Bound(gt=0)] = 20.0
+    greeting_seconds: Annotated[float, Bound(gt=0)] = 3.0
 
 
 def plan_repair(core: ReplicaCore, settings: StewardSettings) -> MembershipChange | None:
--- a/chicorypost/consensus/tests/explorer.py
+++ b/chicorypost/consensus/tests/explorer.py
@@ -13,6 +13,8 @@
 from functools import cache
 from typing import Any
 
+import msgspec
+
 from chicorypost.base import Event, InstanceId, Instant, Received, Send, Tick
 from chicorypost.consensus import (
     HardState,
@@ -147,7 +149,9 @@
     if persist.entries:
         first = persist.entries[0].index
         entries = tuple(entry for entry in entries if entry.index < first) + persist.entries
-    return replace(disk, hard_state=persist.hard_state or disk.hard_state, entries=entries)
+    return msgspec.structs.replace(
+        disk, hard_state=persist.hard_state or disk.hard_state, entries=entries
+    )
 
 
 def step(world, at, event, bounds, timeouts=0):
--- a/chicorypost/cookies/__init__.py
+++ b/chicorypost/cookies/__init__.py
@@ -1,16 +1,21 @@
 """Flow cookies: the way of a packet on platforms whose packets carry a value back and forth."""
 
-from chicorypost.cookies._packet import (
-    CookiePacket,
-    Decision,
-    Dropped,
-    DropReason,
-    ForwardTo,
-    ResetFlow,
-    ResetReason,
-)
-from chicorypost.cookies._router import CookieRouter, make_cookie
-from chicorypost.cookies._settings import CookieSettings
+from typing import TYPE_CHECKING
+
+from chicorypost.base._lazy import import_lazily
+
+if TYPE_CHECKING:
+    from chicorypost.cookies._packet import (
+        CookiePacket,
+        Decision,
+        Dropped,
+        DropReason,
+        ForwardTo,
+        ResetFlow,
+        ResetReason,
+    )
+    from chicorypost.cookies._router import CookieRouter, make_cookie
+    from chicorypost.cookies._settings import CookieSettings
 
 __all__ = [
     "CookiePacket",
@@ -24,3 +29,19 @@
     "ResetReason",
     "make_cookie",
 ]
+
+__getattr__ = import_lazily(
+    __name__,
+    {
+        "CookiePacket": "_packet",
+        "CookieRouter": "_router",
+        "CookieSettings": "_settings",
+        "Decision": "_packet",
+        "DropReason": "_packet",
+        "Dropped": "_packet",
+        "ForwardTo": "_packet",
+        "ResetFlow": "_packet",
+        "ResetReason": "_packet",
+        "make_cookie": "_router",
+    },
+)
--- a/chicorypost/cookies/_flows.py
+++ b/chicorypost/cookies/_flows.py
@@ -1,13 +1,12 @@
 """Flows that pass this balancer: which upstream has them, and what they show of its load."""
 
-from dataclasses import dataclass
+import msgspec
 
 from chicorypost.base import FlowKey, Instant, UpstreamId
 from chicorypost.cookies._packet import CookiePacket
 
 
-@dataclass(slots=True)
-class FlowState:
+class FlowState(msgspec.Struct):
     """One flow as seen from the client's packets.
 
     `busy` says that a request is under way: data has come from the client, and the client hasn't
@@ -22,8 +21,7 @@
     acknowledged: int = 0
 
 
-@dataclass(slots=True)
-class UpstreamLoad:
+class UpstreamLoad(msgspec.Struct):
     """Flows and requests of one upstream through this balancer."""
 
     flows: int = 0
--- a/chicorypost/cookies/_packet.py
+++ b/chicorypost/cookies/_packet.py
@@ -1,9 +1,10 @@
 """What the cookie router needs of a packet, and what it decides."""
 
-from dataclasses import dataclass
 from enum import Enum
 from typing import NamedTuple
 
+import msgspec
+
 from chicorypost.base import Address, FlowKey, UpstreamId
 
 
@@ -61,8 +62,7 @@
     UPSTREAM_GONE = "upstream-gone"
 
 
-@dataclass(frozen=True, slots=True)
-class ForwardTo:
+class ForwardTo(msgspec.Struct, frozen=True):
     """Send the packet to an upstream.
 
     Parameters
@@ -83,15 +83,13 @@
     cookie: int | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class ResetFlow:
+class ResetFlow(msgspec.Struct, frozen=True):
     """Tell the client at once that its flow can't go on."""
 
     reason: ResetReason
 
 
-@dataclass(frozen=True, slots=True)
-class Dropped:
+class Dropped(msgspec.Struct, frozen=True):
     """Drop the packet."""
 
     reason: DropReason
--- a/chicorypost/cookies/_settings.py
+++ b/chicorypost/cookies/_settings.py
@@ -1,13 +1,13 @@
 """Settings of the cookie router."""
 
-from dataclasses import dataclass
 from typing import Annotated
 
-from annotated_types import Ge, Gt
+import msgspec
 
+from chicorypost.base import Bound
 
-@dataclass(frozen=True)
-class CookieSettings:
+
+class CookieSettings(msgspec.Struct, frozen=True):
     """Times and weights of the cookie router.
 
     Parameters
@@ -34,12 +34,12 @@
         How much longer an upstream works on a request just after its start.
     """
 
-    opening_seconds: Annotated[float, Gt(0)] = 1.5
-    flow_idle_seconds: Annotated[float, Gt(0)] = 15.0
-    gone_grace_seconds: Annotated[float, Ge(0)] = 0.5
-    suspect_seconds: Annotated[float, Gt(0)] = 1.0
-    max_suspect_seconds: Annotated[float, Gt(0)] = 8.0
-    suspect_share: Annotated[float, Gt(0)] = 0.5
-    dead_unanswered: Annotated[int, Ge(1)] = 3
-    idle_flow_weight: Annotated[float, Ge(0)] = 0.2
-    cold_factor: Annotated[float, Ge(1)] = 1.6
+    opening_seconds: Annotated[float, Bound(gt=0)] = 1.5
+    flow_idle_seconds: Annotated[float, Bound(gt=0)] = 15.0
+    gone_grace_seconds: Annotated[float, Bound(ge=0)] = 0.5
+    suspect_seconds: Annotated[float, Bound(gt=0)] = 1.0
+    max_suspect_seconds: Annotated[float, Bound(gt=0)] = 8.0
+    suspect_share: Annotated[float, Bound(gt=0)] = 0.5
+    dead_unanswered: Annotated[int, Bound(ge=1)] = 3
+    idle_flow_weight: Annotated[float, Bound(ge=0)] = 0.2
+    cold_factor: Annotated[float, Bound(ge=1)] = 1.6
--- a/chicorypost/cookies/_suspects.py
+++ b/chicorypost/cookies/_suspects.py
@@ -1,6 +1,6 @@
 """Upstreams that don't answer flows being opened: passive ejection with slow return."""
 
-from dataclasses import dataclass
+import msgspec
 
 from chicorypost.base import Instant, UpstreamId
 from chicorypost.cookies._settings import CookieSettings
@@ -8,8 +8,7 @@
 LONG_AGO = Instant(float("-inf"))
 
 
-@dataclass(slots=True)
-class Suspicion:
+class Suspicion(msgspec.Struct):
     """What recent openings showed of one upstream."""
 
     answered_at: Instant = LONG_AGO
--- a/chicorypost/daemons/__init__.py
+++ b/chicorypost/daemons/__init__.py
@@ -3,8 +3,9 @@
 Names are imported when they are used: a process loads only what its role runs.
 """
 
-import importlib
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
+
+from chicorypost.base._lazy import import_lazily
 
 if TYPE_CHECKING:
     from chicorypost.daemons._balancer import BalancerDaemon, run_balancer
@@ -38,25 +39,22 @@
     "run_control",
 ]
 
-_MODULES = {
-    "BalancerDaemon": "_balancer",
-    "BalancerSettings": "_settings",
-    "ControlSettings": "_control_settings",
-    "Engine": "_engine",
-    "PacketForwarder": "_packets",
-    "Part": "_engine",
-    "ProcessSettings": "_settings",
-    "SettingsMistake": "_settings",
-    "check_settings": "_settings",
-    "load_settings": "_settings",
-    "open_packet_socket": "_packets",
-    "parse_endpoint": "_settings",
-    "run_balancer": "_balancer",
-    "run_control": "_control",
-}
-
-
-def __getattr__(name: str) -> Any:
-    if name in _MODULES:
-        return getattr(importlib.import_module(f"{__name__}.{_MODULES[name]}"), name)
-    raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+__getattr__ = import_lazily(
+    __name__,
+    {
+        "BalancerDaemon": "_balancer",
+        "BalancerSettings": "_settings",
+        "ControlSettings": "_control_settings",
+        "Engine": "_engine",
+        "PacketForwarder": "_packets",
+        "Part": "_engine",
+        "ProcessSettings": "_settings",
+        "SettingsMistake": "_settings",
+        "check_settings": "_settings",
+        "load_settings": "_settings",
+        "open_packet_socket": "_packets",
+        "parse_endpoint": "_settings",
+        "run_balancer": "_balancer",
+        "run_control": "_control",
+    },
+)
--- a/chicorypost/daemons/_engine.py
+++ b/chicorypost/daemons/_engine.py
@@ -2,9 +2,9 @@
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
+import msgspec
 import trio
 
 from chicorypost.base import (
@@ -24,8 +24,7 @@
 WAKE_SLACK_SECONDS = 0.001
 
 
-@dataclass(frozen=True, slots=True)
-class Part:
+class Part(msgspec.Struct, frozen=True):
     """One state machine and what it is told.
 
     Parameters
--- a/chicorypost/events/_catalogue.py
+++ b/chicorypost/events/_catalogue.py
@@ -6,9 +6,10 @@
 """
 
 from collections.abc import Mapping
-from dataclasses import dataclass
 from enum import Enum
 
+import msgspec
+
 from chicorypost.base import Effect
 
 FieldValue = str | int | float | bool | None
@@ -23,8 +24,7 @@
     ERROR = "error"
 
 
-@dataclass(frozen=True, slots=True)
-class EventSpec:
+class EventSpec(msgspec.Struct, frozen=True):
     """One entry of the catalogue."""
 
     number: int
@@ -47,8 +47,7 @@
         return Emit(self, fields)
 
 
-@dataclass(frozen=True, slots=True)
-class Emit(Effect):
+class Emit(Effect, msgspec.Struct, frozen=True):
     """Log one event and count it."""
 
     spec: EventSpec
--- a/chicorypost/platform/__init__.py
+++ b/chicorypost/platform/__init__.py
@@ -3,33 +3,38 @@
 Everything is decoded here into types of the product; nothing outside knows the platform's names.
 """
 
-from chicorypost.platform._announcements import (
-    AnnouncementMistake,
-    read_announcement,
-    read_leaving,
-)
-from chicorypost.platform._calls import (
-    AnnounceCall,
-    LeaveCall,
-    Simple,
-    UnknownCall,
-    answer_document,
-    answer_done,
-    answer_elsewhere,
-    answer_mistake,
-    answer_unavailable,
-    answer_unknown,
-    read_call,
-)
-from chicorypost.platform._configuration import read_configuration
-from chicorypost.platform._packets import BadPacket, make_reset, read_packet, wrap_packet
-from chicorypost.platform._settings import (
-    SETTINGS_VARIABLE,
-    NodeSettings,
-    NodeSettingsMistake,
-    read_endpoint,
-    read_node_settings,
-)
+from typing import TYPE_CHECKING
+
+from chicorypost.base._lazy import import_lazily
+
+if TYPE_CHECKING:
+    from chicorypost.platform._announcements import (
+        AnnouncementMistake,
+        read_announcement,
+        read_leaving,
+    )
+    from chicorypost.platform._calls import (
+        AnnounceCall,
+        LeaveCall,
+        Simple,
+        UnknownCall,
+        answer_document,
+        answer_done,
+        answer_elsewhere,
+        answer_mistake,
+        answer_unavailable,
+        answer_unknown,
+        read_call,
+    )
+    from chicorypost.platform._configuration import read_configuration
+    from chicorypost.platform._packets import BadPacket, make_reset, read_packet, wrap_packet
+    from chicorypost.platform._settings import (
+        SETTINGS_VARIABLE,
+        NodeSettings,
+        NodeSettingsMistake,
+        read_endpoint,
+        read_node_settings,
+    )
 
 __all__ = [
     "SETTINGS_VARIABLE",
@@ -57,3 +62,33 @@
     "read_packet",
     "wrap_packet",
 ]
+
+__getattr__ = import_lazily(
+    __name__,
+    {
+        "AnnounceCall": "_calls",
+        "AnnouncementMistake": "_announcements",
+        "BadPacket": "_packets",
+        "LeaveCall": "_calls",
+        "NodeSettings": "_settings",
+        "NodeSettingsMistake": "_settings",
+        "SETTINGS_VARIABLE": "_settings",
+        "Simple": "_calls",
+        "UnknownCall": "_calls",
+        "answer_document": "_calls",
+        "answer_done": "_calls",
+        "answer_elsewhere": "_calls",
+        "answer_mistake": "_calls",
+        "answer_unavailable": "_calls",
+        "answer_unknown": "_calls",
+        "make_reset": "_packets",
+        "read_announcement": "_announcements",
+        "read_call": "_calls",
+        "read_configuration": "_configuration",
+        "read_endpoint": "_settings",
+        "read_leaving": "_announcements",
+        "read_node_settings": "_settings",
+        "read_packet": "_packets",
+        "wrap_packet": "_packets",
+    },
+)
--- a/chicorypost/platform/_calls.py
+++ b/chicorypost/platform/_calls.py
@@ -1,6 +1,5 @@
 """The platform's HTTP calls."""
 
-from dataclasses import dataclass
 from enum import Enum
 
 import msgspec
@@ -25,22 +24,19 @@
     GET = "get"
 
 
-@dataclass(frozen=True, slots=True)
-class AnnounceCall:
+class AnnounceCall(msgspec.Struct, frozen=True):
     """An upstream announces itself."""
 
     name: str
 
 
-@dataclass(frozen=True, slots=True)
-class LeaveCall:
+class LeaveCall(msgspec.Struct, frozen=True):
     """An upstream says that it ends."""
 
     name: str
 
 
-@dataclass(frozen=True, slots=True)
-class UnknownCall:
+class UnknownCall(msgspec.Struct, frozen=True):
     """A method and path that the platform doesn't have."""
 
 
--- a/chicorypost/roles/_balancer.py
+++ b/chicorypost/roles/_balancer.py
@@ -4,7 +4,7 @@
 import time
 from functools import partial
 from random import Random
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import trio
 
@@ -28,12 +28,7 @@
 from chicorypost.platform import (
     BadPacket,
     NodeSettings,
-    Simple,
-    answer_done,
-    answer_unavailable,
-    answer_unknown,
     make_reset,
-    read_call,
     read_packet,
     wrap_packet,
 )
@@ -42,20 +37,21 @@
 from chicorypost.roles._settings_file import watch_settings
 from chicorypost.transport import (
     Hello,
-    HttpServer,
-    HttpServerRequest,
-    HttpServerResponse,
-    HttpSettings,
     PeerNetwork,
     TlsContexts,
     TlsSettings,
 )
 
+if TYPE_CHECKING:
+    from chicorypost.transport import HttpServerRequest, HttpServerResponse
+
 FEED_TAGS = range(811, 900)
 DATAGRAM_BYTES = 2048
 """Room for a packet with the largest data, and for one that is too long to be one."""
 BATCH_PACKETS = 32
 SOCKET_BUFFER_BYTES = 512 * 1024
+READY_LOOK_SECONDS = 0.02
+"""How often a balancer that isn't ready yet looks whether it is."""
 LEAVE_SECONDS = 2.5
 """How long packets are still forwarded once a stop has begun: the fabric asks twice a second and
 leaves this instance out after two refusals."""
@@ -90,7 +86,6 @@
         self.socket = open_packet_socket(settings.packets)
         self.was_ready = False
         self.network = self._make_network()
-        self.server = HttpServer("readiness", HttpSettings(), self._answer, journal.emit)
 
     def _make_network(self) -> PeerNetwork:
         settings = self.settings
@@ -149,7 +144,15 @@
             return "no configuration yet"
         return "" if self.view.has_directory else "no upstreams known yet"
 
-    async def _answer(self, request: HttpServerRequest) -> HttpServerResponse:
+    async def _answer(self, request: "HttpServerRequest") -> "HttpServerResponse":
+        from chicorypost.platform import (
+            Simple,
+            answer_done,
+            answer_unavailable,
+            answer_unknown,
+            read_call,
+        )
+
         if read_call(request) is not Simple.READY:
             return answer_unknown()
         reason = self.not_ready()
@@ -167,9 +170,8 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(self.stop.run, self._leave, nursery.cancel_scope)
             await nursery.start(self.network.run, None)
-            probes = await trio.open_tcp_listeners(settings.readiness.port, host=settings.host)
-            nursery.start_soon(partial(trio.serve_listeners, self.server.serve, probes))
             nursery.start_soon(self._forward_packets)
+            nursery.start_soon(self._serve_probes)
             watch = partial(watch_settings, settings, self._change_settings, self.journal.emit)
             nursery.start_soon(watch)
             self.journal.emit(STARTED.emit(role="balancer", version=__version__))
@@ -184,6 +186,21 @@
         """Forward packets until the fabric has taken this instance out of rotation."""
         await trio.sleep(LEAVE_SECONDS)
 
+    async def _serve_probes(self) -> None:
+        """Answer the fabric's probes from the moment when there is something to serve.
+
+        Packets may come before that, so forwarding doesn't wait for the HTTP library.
+        """
+        assert self.settings.readiness is not None
+        while self.not_ready():
+            await trio.sleep(READY_LOOK_SECONDS)
+        from chicorypost.transport import HttpServer, HttpSettings
+
+        server = HttpServer("readiness", HttpSettings(), self._answer, self.journal.emit)
+        host, port = self.settings.readiness.host, self.settings.readiness.port
+        listeners = await trio.open_tcp_listeners(port, host=host)
+        await trio.serve_listeners(server.serve, listeners)
+
     async def _forward_packets(self) -> None:
         while True:
             await trio.lowlevel.wait_readable(self.socket)
--- a/chicorypost/roles/_control.py
+++ b/chicorypost/roles/_control.py
@@ -18,6 +18,8 @@
     PeerGone,
     PeerReached,
     PeersChanged,
+    TableChanged,
+    TableRestored,
     VersionApplied,
 )
 from chicorypost.base import Effect, Endpoint, Event, Incarnation, InstanceId, Message
@@ -47,6 +49,7 @@
 from chicorypost.roles._process import Journal, network_settings, resolve_control
 from chicorypost.roles._replica_host import HOST_EVENTS, DiskWriter, ReplicaHost
 from chicorypost.roles._settings_file import watch_settings
+from chicorypost.roles._table_file import TableFile
 from chicorypost.roles._waiters import Waiters
 from chicorypost.routing import RoutingState
 from chicorypost.transport import (
@@ -61,10 +64,14 @@
 CONSENSUS_TAGS = range(100, 200)
 ANNOUNCEMENT_TAGS = range(800, 900)
 
+LOG_FOLDER = "log"
+TABLE_FILE = "announcements"
 HEARTBEAT_SECONDS = 0.25
 """Interval of the leader's heartbeats: four fit into an election time-out."""
 ELECTION_SECONDS = 1.0
 """Least time without a leader before an election; far above the round trip of one region."""
+FIRST_ELECTION_SECONDS = 0.3
+"""The same for a process that has just started: a leader would have been heard in that time."""
 REPAIR_SECONDS = 0.25
 """How often the leader looks whether the membership needs a repair."""
 SNAPSHOT_RECORDS = 64
@@ -98,7 +105,9 @@
         self.waiters = Waiters(self.engine)
         random = Random()
         self.host = ReplicaHost(_replica_settings(settings), self.instance, random)
-        self.writer = DiskWriter(Path(settings.data_folder), self.engine, journal.emit)
+        folder = Path(settings.data_folder)
+        self.writer = DiskWriter(folder / LOG_FOLDER, self.engine, journal.emit)
+        self.table_file = TableFile(folder / TABLE_FILE, journal.emit)
         self.steward = StewardSettings(voters=2 * settings.lost_disks + 1)
         announcements = AnnouncementSettings(interval_seconds=settings.announcement_seconds)
         feed = random.getrandbits(48) + 1
@@ -113,7 +122,7 @@
         host_events = tuple(event for event in HOST_EVENTS)
         log = Part("log", self.host, messages_in(CONSENSUS_TAGS), host_events)
         self.engine.add(log)
-        told = (Announced, PeersChanged, PeerReached, PeerGone, VersionApplied)
+        told = (Announced, PeersChanged, PeerReached, PeerGone, VersionApplied, TableRestored)
         messages = messages_in(ANNOUNCEMENT_TAGS)
         self.engine.add(Part("announcements", self.keeper, messages, told))
 
@@ -171,6 +180,8 @@
                 self.waiters.answer(name, effect)
             case AnnouncementDone(call=name):
                 self.waiters.answer(name, effect)
+            case TableChanged():
+                self.table_file.save(self.keeper.list_all(self.engine.now()))
             case Event():
                 pass
             case _:
@@ -197,9 +208,11 @@
             serve = partial(trio.serve_listeners, self.server.serve, callers)
             nursery.start_soon(serve)
             nursery.start_soon(self.writer.run)
+            nursery.start_soon(self.table_file.run)
             nursery.start_soon(self._repair_membership)
             watch = partial(watch_settings, settings, self._change_settings, self.journal.emit)
             nursery.start_soon(watch)
+            self.engine.post(TableRestored(self.table_file.load()))
             self.journal.emit(STARTED.emit(role="control", version=__version__))
             self.engine.reschedule()
             nursery.start_soon(self.engine.run_timer)
@@ -247,6 +260,7 @@
         contacts=settings.seeds,
         heartbeat_seconds=HEARTBEAT_SECONDS,
         election_seconds=ELECTION_SECONDS,
+        first_election_seconds=FIRST_ELECTION_SECONDS,
         max_command_bytes=MAX_DOCUMENT_BYTES,
         snapshot_interval_records=SNAPSHOT_RECORDS,
         trailing_records=TRAILING_RECORDS,
--- a/chicorypost/roles/_events.py
+++ b/chicorypost/roles/_events.py
@@ -53,6 +53,13 @@
 MEMBERSHIP_REPAIR = define_event(
     49, "membership-repair", Level.WARNING, "The leader changes the membership.", "change"
 )
+TABLE_NOT_SAVED = define_event(
+    51,
+    "announcements-not-saved",
+    Level.WARNING,
+    "The table of announcements was not saved or loaded; upstreams announce themselves again.",
+    "reason",
+)
 PACKET_SOCKET_FAILED = define_event(
     50,
     "packet-send-failed",
--- a/chicorypost/roles/_replica_host.py
+++ b/chicorypost/roles/_replica_host.py
@@ -2,11 +2,11 @@
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 from pathlib import Path
 from random import Random
 from typing import Any
 
+import msgspec
 import trio
 
 from chicorypost.base import Effect, Event, InstanceId, Instant, Received
@@ -35,15 +35,13 @@
 """Pause before a disk that refused is tried again."""
 
 
-@dataclass(frozen=True, slots=True)
-class DiskRecovered(Event):
+class DiskRecovered(Event, msgspec.Struct, frozen=True):
     """The data folder was read, and the disk takes writes."""
 
     recovered: RecoveredState
 
 
-@dataclass(frozen=True, slots=True)
-class DiskFailed(Event):
+class DiskFailed(Event, msgspec.Struct, frozen=True):
     """A write failed: what is on the disk isn't known until it is read again."""
 
     reason: str
--- a/chicorypost/roles/_start.py
+++ b/chicorypost/roles/_start.py
@@ -1,5 +1,6 @@
 """Start of a role: settings, log and loop."""
 
+import gc
 import sys
 
 import trio
@@ -23,12 +24,20 @@
         case ["balancer"]:
             from chicorypost.roles._balancer import run_balancer
 
+            keep_imports()
             trio.run(run_balancer, settings, Journal())
         case ["control"]:
             from chicorypost.roles._control import run_control
 
+            keep_imports()
             trio.run(run_control, settings, Journal())
         case _:
             print("usage: python -m chicorypost.roles balancer|control", file=sys.stderr)
             return USAGE_STATUS
     return 0
+
+
+def keep_imports() -> None:
+    """Leave what was imported out of all garbage collections to come."""
+    gc.freeze()
+    gc.enable()
--- a/chicorypost/roles/_waiters.py
+++ b/chicorypost/roles/_waiters.py
@@ -1,17 +1,16 @@
 """Callers that wait for the answer of a state machine."""
 
-from dataclasses import dataclass, field
 from typing import Any
 
+import msgspec
 import trio
 
 from chicorypost.base import Event
 from chicorypost.daemons import Engine
 
 
-@dataclass(slots=True)
-class _Waiter:
-    arrived: trio.Event = field(default_factory=trio.Event)
+class _Waiter(msgspec.Struct):
+    arrived: trio.Event = msgspec.field(default_factory=trio.Event)
     answer: Any = None
 
 
--- a/chicorypost/roles/tests/test_imports.py
+++ b/chicorypost/roles/tests/test_imports.py
@@ -17,7 +17,13 @@
     "trustme",
 }
 FORBIDDEN = {
-    "balancer": HEAVY | {"chicorypost.consensus", "chicorypost.configuration"},
+    "balancer": HEAVY
+    | {
+        "chicorypost.consensus",
+        "chicorypost.configuration",
+        "chicorypost.announcements._keeper",
+        "h11",
+    },
     "control": HEAVY | {"chicorypost.configuration"},
 }
 
--- a/chicorypost/transport/__init__.py
+++ b/chicorypost/transport/__init__.py
@@ -1,30 +1,31 @@
 """Streams between processes, HTTP and TLS."""
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
-from chicorypost.transport._frames import END_OF_STREAM, EndOfStream, FrameReader, encode_frame
-from chicorypost.transport._http import (
-    Handler,
-    HttpServer,
-    HttpServerRequest,
-    HttpServerResponse,
-)
-from chicorypost.transport._http_client import (
-    ExchangeAnswer,
-    ExchangeFailed,
-    ExchangeFault,
-    ExchangeRequest,
-    HttpConnection,
-    exchange_once,
-    open_http,
-)
-from chicorypost.transport._messages import Heartbeat, HeartbeatReply, Hello
-from chicorypost.transport._peers import PeerLink, PeerNetwork
-from chicorypost.transport._settings import HttpSettings, TlsSettings, TransportSettings
-from chicorypost.transport._tls import TlsContexts
+from chicorypost.base._lazy import import_lazily
 
 if TYPE_CHECKING:
+    from chicorypost.transport._frames import END_OF_STREAM, EndOfStream, FrameReader, encode_frame
+    from chicorypost.transport._http import (
+        Handler,
+        HttpServer,
+        HttpServerRequest,
+        HttpServerResponse,
+    )
+    from chicorypost.transport._http_client import (
+        ExchangeAnswer,
+        ExchangeFailed,
+        ExchangeFault,
+        ExchangeRequest,
+        HttpConnection,
+        exchange_once,
+        open_http,
+    )
     from chicorypost.transport._keys import write_keys
+    from chicorypost.transport._messages import Heartbeat, HeartbeatReply, Hello
+    from chicorypost.transport._peers import PeerLink, PeerNetwork
+    from chicorypost.transport._settings import HttpSettings, TlsSettings, TransportSettings
+    from chicorypost.transport._tls import TlsContexts
 
 __all__ = [
     "END_OF_STREAM",
@@ -54,11 +55,33 @@
     "write_keys",
 ]
 
-
-def __getattr__(name: str) -> Any:
-    # Only the command that makes keys needs the libraries that make them.
-    if name == "write_keys":
-        from chicorypost.transport._keys import write_keys
-
-        return write_keys
-    raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+__getattr__ = import_lazily(
+    __name__,
+    {
+        "END_OF_STREAM": "_frames",
+        "EndOfStream": "_frames",
+        "ExchangeAnswer": "_http_client",
+        "ExchangeFailed": "_http_client",
+        "ExchangeFault": "_http_client",
+        "ExchangeRequest": "_http_client",
+        "FrameReader": "_frames",
+        "Handler": "_http",
+        "Heartbeat": "_messages",
+        "HeartbeatReply": "_messages",
+        "Hello": "_messages",
+        "HttpConnection": "_http_client",
+        "HttpServer": "_http",
+        "HttpServerRequest": "_http",
+        "HttpServerResponse": "_http",
+        "HttpSettings": "_settings",
+        "PeerLink": "_peers",
+        "PeerNetwork": "_peers",
+        "TlsContexts": "_tls",
+        "TlsSettings": "_settings",
+        "TransportSettings": "_settings",
+        "encode_frame": "_frames",
+        "exchange_once": "_http_client",
+        "open_http": "_http_client",
+        "write_keys": "_keys",
+    },
+)
--- a/chicorypost/transport/_http.py
+++ b/chicorypost/transport/_http.py
@@ -1,10 +1,10 @@
 """HTTP/1.1 servers on `h11`: whole requests in, whole responses out."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
 from urllib.parse import parse_qs, urlsplit
 
 import h11
+import msgspec
 import trio
 
 from chicorypost.events import Emit
@@ -15,8 +15,7 @@
 RECEIVE_BYTES = 64 * 1024
 
 
-@dataclass(frozen=True, slots=True)
-class HttpServerRequest:
+class HttpServerRequest(msgspec.Struct, frozen=True):
     """A whole request as it arrived."""
 
     method: str
@@ -42,8 +41,7 @@
         return {name: values[-1] for name, values in parsed.items()}
 
 
-@dataclass(frozen=True, slots=True)
-class HttpServerResponse:
+class HttpServerResponse(msgspec.Struct, frozen=True):
     """A whole response to send."""
 
     status: int
@@ -54,16 +52,14 @@
 Handler = Callable[[HttpServerRequest], Awaitable[HttpServerResponse]]
 
 
-@dataclass(frozen=True, slots=True)
-class _Refusal:
+class _Refusal(msgspec.Struct, frozen=True):
     """Why a request could not be read."""
 
     status: int
     reason: str
 
 
-@dataclass(slots=True)
-class HttpServer:
+class HttpServer(msgspec.Struct):
     """Serves one listener.
 
     Parameters
@@ -92,7 +88,7 @@
     in_progress: int = 0
     refused: int = 0
     stopping: bool = False
-    idle_scopes: set[trio.CancelScope] = field(default_factory=set)
+    idle_scopes: set[trio.CancelScope] = msgspec.field(default_factory=set)
 
     async def serve(self, stream: trio.abc.Stream) -> None:
         """Serve one connection until it ends; the handler of `trio.serve_listeners`."""
--- a/chicorypost/transport/_http_client.py
+++ b/chicorypost/transport/_http_client.py
@@ -2,10 +2,10 @@
 
 import select
 import ssl
-from dataclasses import dataclass
 from enum import Enum
 
 import h11
+import msgspec
 import trio
 
 from chicorypost.base import Endpoint
@@ -24,16 +24,14 @@
     """What came is not a whole HTTP response of allowed size."""
 
 
-@dataclass(frozen=True, slots=True)
-class ExchangeFailed:
+class ExchangeFailed(msgspec.Struct, frozen=True):
     """Result of an exchange without a whole answer."""
 
     fault: ExchangeFault
     detail: str
 
 
-@dataclass(frozen=True, slots=True)
-class ExchangeAnswer:
+class ExchangeAnswer(msgspec.Struct, frozen=True):
     """A whole answer."""
 
     status: int
@@ -45,8 +43,7 @@
         return next((value for key, value in self.headers if key.lower() == name.lower()), None)
 
 
-@dataclass(frozen=True, slots=True)
-class ExchangeRequest:
+class ExchangeRequest(msgspec.Struct, frozen=True):
     """A whole request to send."""
 
     method: str
--- a/chicorypost/transport/_peers.py
+++ b/chicorypost/transport/_peers.py
@@ -2,8 +2,8 @@
 
 import contextlib
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
+import msgspec
 import trio
 
 from chicorypost.base import Endpoint, InstanceId, Message, Undecodable
@@ -34,8 +34,7 @@
     return None
 
 
-@dataclass(slots=True)
-class PeerLink:
+class PeerLink(msgspec.Struct):
     """The sending side of the connection to one peer."""
 
     peer: InstanceId
@@ -45,7 +44,7 @@
     sent: int = 0
     sent_bytes: int = 0
     dropped: int = 0
-    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    scope: trio.CancelScope = msgspec.field(default_factory=trio.CancelScope)
     """Ends the task that keeps the connection; unused for a peer that dials us."""
 
     def offer(self, message: Message) -> bool:
@@ -58,8 +57,7 @@
         return True
 
 
-@dataclass(slots=True)
-class PeerNetwork:
+class PeerNetwork(msgspec.Struct):
     """Sends messages to instances by id and hands received ones to a receiver.
 
     Messages may be lost: when a peer can't be reached or its queue is full they are dropped. The
@@ -92,8 +90,8 @@
     resolve: Callable[[InstanceId], Endpoint | None] = _resolve_none
     on_connected: Callable[[InstanceId], None] = _ignore
     on_lost: Callable[[InstanceId], None] = _ignore
-    addresses: dict[InstanceId, Endpoint] = field(default_factory=dict)
-    links: dict[InstanceId, PeerLink] = field(default_factory=dict)
+    addresses: dict[InstanceId, Endpoint] = msgspec.field(default_factory=dict)
+    links: dict[InstanceId, PeerLink] = msgspec.field(default_factory=dict)
     accepted: int = 0
     received: int = 0
     received_bytes: int = 0
--- a/chicorypost/transport/_settings.py
+++ b/chicorypost/transport/_settings.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 from typing import Annotated
 
-from annotated_types import Ge, Gt, Le
+from chicorypost.base import Bound
 
 
 @dataclass(frozen=True)
@@ -60,12 +60,12 @@
 
     __pydantic_config__ = {"extra": "forbid"}
 
-    heartbeat_seconds: Annotated[float, Gt(0), Le(60)] = 1.0
-    silence_seconds: Annotated[float, Gt(0), Le(300)] = 3.0
-    dial_seconds: Annotated[float, Gt(0), Le(60)] = 1.0
-    redial_seconds: Annotated[float, Gt(0), Le(60)] = 0.25
-    queue_messages: Annotated[int, Ge(1)] = 2048
-    connections: Annotated[int, Ge(1)] = 2000
+    heartbeat_seconds: Annotated[float, Bound(gt=0, le=60)] = 1.0
+    silence_seconds: Annotated[float, Bound(gt=0, le=300)] = 3.0
+    dial_seconds: Annotated[float, Bound(gt=0, le=60)] = 1.0
+    redial_seconds: Annotated[float, Bound(gt=0, le=60)] = 0.25
+    queue_messages: Annotated[int, Bound(ge=1)] = 2048
+    connections: Annotated[int, Bound(ge=1)] = 2000
 
     def __post_init__(self) -> None:
         """Require room for a lost heartbeat before a connection counts as silent."""
@@ -96,8 +96,8 @@
 
     __pydantic_config__ = {"extra": "forbid"}
 
-    body_bytes: Annotated[int, Ge(0)] = 1024 * 1024
-    header_bytes: Annotated[int, Ge(256)] = 16 * 1024
-    read_seconds: Annotated[float, Gt(0)] = 10.0
-    idle_seconds: Annotated[float, Gt(0)] = 60.0
-    connections: Annotated[int, Ge(1)] = 10_000
+    body_bytes: Annotated[int, Bound(ge=0)] = 1024 * 1024
+    header_bytes: Annotated[int, Bound(ge=256)] = 16 * 1024
+    read_seconds: Annotated[float, Bound(gt=0)] = 10.0
+    idle_seconds: Annotated[float, Bound(gt=0)] = 60.0
+    connections: Annotated[int, Bound(ge=1)] = 10_000
