Keep flows in their data centre as far as its upstreams can carry them

Flows were spread over all data centres.

Ruled out: resetting flows on silence (evidence of a cut comes after 1.6 s, a request lasts 1.2 s); knowledge of each data centre's demand (equal demand is near enough: capacity decides the rest).

Change: a new flow stays in the balancer's data centre with the probability that its slots cover a fair share of the load, else it goes where there is room. Tests name the three cases.

--- a/chicorypost/cookies/_router.py
+++ b/chicorypost/cookies/_router.py
@@ -12,6 +12,7 @@
 )
 from chicorypost.base import (
     Address,
+    DataCentreId,
     Effect,
     Endpoint,
     Event,
@@ -51,6 +52,8 @@
     ----------
     settings : CookieSettings
         Times and weights.
+    data_centre : DataCentreId
+        Where the balancer stands.
     random : Random
         Source of randomness.
     now : Instant
@@ -64,15 +67,18 @@
     only improves the choice: copies of an opening go to the same upstream, and load is known.
     """
 
-    def __init__(self, settings: CookieSettings, random: Random, now: Instant) -> None:
+    def __init__(
+        self, settings: CookieSettings, data_centre: DataCentreId, random: Random, now: Instant
+    ) -> None:
         self.settings = settings
         self.tracker = FlowTracker()
         self.suspects = Suspects(settings)
-        self.chooser = FlowChooser(settings, self.tracker, self.suspects, random)
+        self.chooser = FlowChooser(settings, data_centre, self.tracker, self.suspects, random)
         self.document: RoutingDocument | None = None
         self.routes: dict[Address, Route] = {}
         self.upstreams: dict[UpstreamId, VisibleUpstream] = {}
         self.candidates: dict[ServiceId, list[VisibleUpstream]] = {}
+        self.data_centres = 1
         self.by_cookie: dict[int, UpstreamId] = {}
         self.gone_at: dict[UpstreamId, Instant] = {}
         self.counters: Counter[str] = Counter()
@@ -164,7 +170,7 @@
         chosen = self._repeat_choice(packet, now)
         if chosen is None:
             service = pick_service(route, packet.flow)
-            chosen = self.chooser.choose(self.candidates.get(service, ()), now)
+            chosen = self.chooser.choose(self.candidates.get(service, ()), self.data_centres, now)
             if chosen is None:
                 return self._reset(ResetReason.NO_UPSTREAM)
             self.tracker.open(packet.flow, chosen.announcement.upstream, now)
@@ -211,6 +217,7 @@
             self.suspects.forget(name)
             self.gone_at.pop(name, None)
         self.upstreams = known
+        self.data_centres = len({item.announcement.data_centre for item in upstreams})
         self.candidates = {}
         self.by_cookie = {}
         # At an address that was used again the run that started last is the one that is there.
--- a/chicorypost/cookies/tests/test_router.py
+++ b/chicorypost/cookies/tests/test_router.py
@@ -7,7 +7,16 @@
 
 from chicorypost.announcements import RoutingApplied, Standing, UpstreamsSeen, VisibleUpstream
 from chicorypost.announcements.tests.test_table import announce
-from chicorypost.base import Address, FlowKey, Instant, ServiceId, Tick, UpstreamId, Version
+from chicorypost.base import (
+    Address,
+    DataCentreId,
+    FlowKey,
+    Instant,
+    ServiceId,
+    Tick,
+    UpstreamId,
+    Version,
+)
 from chicorypost.cookies import (
     CookiePacket,
     CookieRouter,
@@ -28,6 +37,7 @@
 )
 
 SETTINGS = CookieSettings()
+HERE = DataCentreId("a")
 ADDRESS = Address("1:80")
 SERVICE = ServiceId("orders")
 NAMES = [UpstreamId(f"i-{number}") for number in (1, 2, 3)]
@@ -62,7 +72,7 @@
 
 @pytest.fixture
 def router():
-    router = CookieRouter(SETTINGS, Random(1), START)
+    router = CookieRouter(SETTINGS, HERE, Random(1), START)
     router.handle(RoutingApplied(document()), START)
     router.handle(UpstreamsSeen(tuple(see(name) for name in NAMES)), START)
     return router
@@ -159,7 +169,7 @@
 
 
 def test_without_a_configuration_nothing_is_refused():
-    router = CookieRouter(SETTINGS, Random(1), START)
+    router = CookieRouter(SETTINGS, HERE, Random(1), START)
     assert router.route(opening(b"f"), START) == Dropped(DropReason.NOT_CONFIGURED)
 
 
@@ -212,7 +222,7 @@
 
 def test_weights_split_new_flows_and_copies_agree():
     other = ServiceId("archive")
-    router = CookieRouter(SETTINGS, Random(1), START)
+    router = CookieRouter(SETTINGS, HERE, Random(1), START)
     router.handle(RoutingApplied(document(targets=((SERVICE, 3), (other, 1)))), START)
     call = msgspec.structs.replace(announce(NAMES[1], host="10.0.0.2"), service=other)
     archive = VisibleUpstream(call, False, START)
@@ -221,3 +231,33 @@
     first = [chosen_by(router, opening(flow)) for flow in flows]
     assert 60 < first.count(NAMES[1]) < 140
     assert first == [chosen_by(router, opening(flow, 1)) for flow in flows]
+
+
+def place(name, data_centre, slots=2):
+    call = msgspec.structs.replace(
+        see(name).announcement, data_centre=DataCentreId(data_centre), slots=slots
+    )
+    return VisibleUpstream(call, False, START)
+
+
+def shares(router, count=400):
+    chosen = [chosen_by(router, opening(n.to_bytes(2, "big"))) for n in range(count)]
+    return {name: chosen.count(name) / count for name in NAMES}
+
+
+def test_flows_stay_in_the_data_centre_while_its_upstreams_can_carry_them(router):
+    show(router, place(NAMES[0], "a"), place(NAMES[1], "b"), place(NAMES[2], "c"))
+    assert shares(router)[NAMES[0]] == 1.0
+
+
+def test_what_the_own_data_centre_cannot_carry_goes_where_there_is_room(router):
+    show(router, place(NAMES[0], "a", 1), place(NAMES[1], "b", 2), place(NAMES[2], "c", 3))
+    found = shares(router)
+    assert 0.42 < found[NAMES[0]] < 0.58
+    assert found[NAMES[1]] == 0.0
+
+
+def test_without_upstreams_of_its_own_a_data_centre_uses_the_others(router):
+    show(router, place(NAMES[1], "b"), place(NAMES[2], "c"))
+    found = shares(router)
+    assert found[NAMES[1]] > 0.4 and found[NAMES[2]] > 0.4
--- a/chicorypost/roles/_balancer.py
+++ b/chicorypost/roles/_balancer.py
@@ -77,7 +77,7 @@
         now, random = self.engine.now(), Random()
         announcements = AnnouncementSettings(interval_seconds=settings.announcement_seconds)
         self.view = DirectoryView(announcements, settings.seeds, now)
-        self.router = CookieRouter(CookieSettings(), random, now)
+        self.router = CookieRouter(CookieSettings(), settings.data_centre, random, now)
         self.engine.add(
             Part("view", self.view, messages_in(FEED_TAGS), (PeerReached, PeerGone, SeedsChanged))
         )
