Log every decision that touches a request, within a budget; metrics and explain

Cause: on the platform a failed request could not be traced: roles logged connections and little else, wrote to standard output with blocking calls, and served no metrics.

Ruled out: a log line for each packet (70 packets a second and balancer; one line for each opening, request, reset and drop says the same); prometheus_client at the start (4 MB and its import on machines that nobody looks at: it is loaded when metrics are first asked for).

Change: flow-opened, request-forwarded, flow-reset, packet-dropped and upstream-seen with what decided them; 25 lines a second for each event with bursts of 150, the rest counted and named; an output that drops whole lines instead of blocking; counters and histograms at 9102/metrics; `chicorypost explain ID LOG...`.

--- a/chicorypost/commands/_main.py
+++ b/chicorypost/commands/_main.py
@@ -8,6 +8,7 @@
 from chicorypost.commands._control import ControlCommand, MembersCommand
 from chicorypost.commands._daemons import BalancerCommand
 from chicorypost.commands._dump import DumpCommand
+from chicorypost.commands._explain import ExplainCommand
 from chicorypost.commands._keys import KeysCommand
 from chicorypost.commands._settings import SettingsCommand
 from chicorypost.commands._status import StatusCommand
@@ -32,6 +33,7 @@
         | StatusCommand
         | MembersCommand
         | DumpCommand
+        | ExplainCommand
         | KeysCommand
         | SettingsCommand
     ]
--- a/chicorypost/cookies/_events.py
+++ b/chicorypost/cookies/_events.py
@@ -2,6 +2,64 @@
 
 from chicorypost.events import Level, define_event
 
+FLOW_OPENED = define_event(
+    822,
+    "flow-opened",
+    Level.INFO,
+    "The opening of a flow was sent to an upstream; copies tells how often the client repeated it.",
+    "flow",
+    "route",
+    "upstream",
+    "copies",
+    "candidates",
+    "load",
+    "version",
+)
+FLOW_RESET = define_event(
+    823,
+    "flow-reset",
+    Level.WARNING,
+    "A client was told at once that its flow can't go on.",
+    "flow",
+    "route",
+    "request",
+    "reason",
+    "candidates",
+    "version",
+)
+REQUEST_FORWARDED = define_event(
+    824,
+    "request-forwarded",
+    Level.INFO,
+    "The first packet of a request was sent to the upstream of its flow.",
+    "request",
+    "flow",
+    "upstream",
+    "silent",
+    "version",
+)
+PACKET_DROPPED = define_event(
+    825,
+    "packet-dropped",
+    Level.WARNING,
+    "A packet was dropped without an answer.",
+    "flow",
+    "request",
+    "reason",
+    "version",
+)
+UPSTREAM_SEEN = define_event(
+    826,
+    "upstream-seen",
+    Level.INFO,
+    "What this balancer believes of an upstream has changed.",
+    "upstream",
+    "service",
+    "standing",
+    "silent",
+    "born_ms",
+    "sequence",
+)
 UPSTREAM_SUSPECTED = define_event(
     820,
     "upstream-suspected",
--- a/chicorypost/cookies/_flows.py
+++ b/chicorypost/cookies/_flows.py
@@ -4,6 +4,9 @@
 
 from chicorypost.base import FlowKey, Instant, UpstreamId
 from chicorypost.cookies._packet import CookiePacket
+from chicorypost.metrics import PlainHistogram
+
+NEVER = Instant(0.0)
 
 
 class FlowState(msgspec.Struct):
@@ -16,8 +19,10 @@
     upstream: UpstreamId
     seen_at: Instant
     opening: bool
+    opened_at: Instant = NEVER
     copies: int = 0
     busy: bool = False
+    busy_at: Instant = NEVER
     acknowledged: int = 0
 
 
@@ -35,6 +40,10 @@
     def __init__(self) -> None:
         self.flows: dict[FlowKey, FlowState] = {}
         self.loads: dict[UpstreamId, UpstreamLoad] = {}
+        self.opening_seconds = PlainHistogram()
+        """From the first opening packet to the first packet that shows an answer."""
+        self.request_seconds = PlainHistogram()
+        """From a request's first data to the first acknowledgement of an answer."""
 
     def load(self, upstream: UpstreamId) -> UpstreamLoad:
         """Return the load of an upstream."""
@@ -46,7 +55,7 @@
     def open(self, flow: FlowKey, upstream: UpstreamId, now: Instant) -> None:
         """Note that a flow is being opened at an upstream."""
         self.close(flow)
-        self.flows[flow] = FlowState(upstream, now, opening=True)
+        self.flows[flow] = FlowState(upstream, now, opening=True, opened_at=now)
         load = self.load(upstream)
         load.flows += 1
         load.opening += 1
@@ -63,12 +72,15 @@
         has_answered = state.opening or packet.acknowledged != state.acknowledged
         if state.opening:
             state.opening = False
+            self.opening_seconds.observe(now - state.opened_at)
             load.opening -= 1
         if state.busy and packet.acknowledged != state.acknowledged:
             state.busy = False
             load.busy -= 1
+            self.request_seconds.observe(now - state.busy_at)
         if packet.data_bytes and not state.busy:
             state.busy = True
+            state.busy_at = now
             load.busy += 1
         state.acknowledged = packet.acknowledged
         if packet.ends:
--- a/chicorypost/cookies/_router.py
+++ b/chicorypost/cookies/_router.py
@@ -21,10 +21,11 @@
     ServiceId,
     Tick,
     UpstreamId,
+    Version,
     hash64,
 )
 from chicorypost.cookies._choice import FlowChooser
-from chicorypost.cookies._events import UPSTREAM_SUSPECTED, UPSTREAM_TRUSTED
+from chicorypost.cookies._events import UPSTREAM_SEEN, UPSTREAM_SUSPECTED, UPSTREAM_TRUSTED
 from chicorypost.cookies._flows import FlowTracker
 from chicorypost.cookies._packet import (
     DROPPED,
@@ -113,7 +114,7 @@
     def dump(self) -> dict[str, Any]:
         """Return the whole decision state as values that JSON can hold."""
         return {
-            "version": self.document.version if self.document else NO_VERSION,
+            "version": self.version,
             "flows": len(self.tracker.flows),
             "loads": {
                 name: [load.flows, load.opening, load.busy]
@@ -157,6 +158,17 @@
         self.counters["forwarded"] += 1
         return ForwardTo(name, (announcement.endpoint.host, announcement.endpoint.port), 0)
 
+    def count_candidates(self, address: Address) -> int:
+        """Return how many upstreams take new flows of a route."""
+        route = self.routes.get(address)
+        services = {target.service for target in route.targets} if route is not None else set()
+        return sum(len(self.candidates.get(service, ())) for service in services)
+
+    @property
+    def version(self) -> Version:
+        """Version of the configuration in force; 0 before the first."""
+        return self.document.version if self.document is not None else NO_VERSION
+
     def _is_over(self, name: UpstreamId, now: Instant) -> bool:
         gone_at = self.gone_at.get(name)
         return gone_at is not None and now - gone_at >= self.settings.gone_grace_seconds
@@ -206,6 +218,8 @@
         known = {item.announcement.upstream: item for item in upstreams}
         for name, item in known.items():
             former = self.upstreams.get(name)
+            if former is None or _belief(former) != _belief(item):
+                self.effects.append(_tell(item))
             if former is not None and former.announcement.born_ms != item.announcement.born_ms:
                 self.suspects.forget(name)
             if item.announcement.standing is Standing.GONE:
@@ -236,6 +250,23 @@
         return RESETS[reason]
 
 
+def _belief(item: VisibleUpstream) -> tuple[Standing, bool, int]:
+    """Return what decides whether an upstream gets flows."""
+    return (item.announcement.standing, item.silent, item.announcement.born_ms)
+
+
+def _tell(item: VisibleUpstream) -> Effect:
+    announcement = item.announcement
+    return UPSTREAM_SEEN.emit(
+        upstream=announcement.upstream,
+        service=announcement.service,
+        standing=announcement.standing.value,
+        silent=item.silent,
+        born_ms=announcement.born_ms,
+        sequence=announcement.sequence,
+    )
+
+
 def pick_service(route: Route, flow: FlowKey) -> ServiceId:
     """Return the service of a new flow, by the weights; copies of an opening get the same one."""
     if len(route.targets) == 1:
--- a/chicorypost/daemons/_admin.py
+++ b/chicorypost/daemons/_admin.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from chicorypost.metrics import ProcessMetrics
+from chicorypost.metrics import Exposition
 from chicorypost.transport import HttpServerRequest, HttpServerResponse
 
 JSON_HEADERS = (("content-type", "application/json"),)
@@ -23,7 +23,7 @@
 
     Parameters
     ----------
-    metrics : ProcessMetrics
+    metrics : Exposition
         Served at ``/metrics``.
     dump : callable
         Returns the state that ``/dump`` serves.
@@ -31,7 +31,7 @@
         Returns why the process is not ready, or an empty string.
     """
 
-    metrics: ProcessMetrics
+    metrics: Exposition
     dump: Callable[[], dict[str, Any]]
     not_ready: Callable[[], str]
 
--- a/chicorypost/events/__init__.py
+++ b/chicorypost/events/__init__.py
@@ -8,6 +8,7 @@
     define_event,
     event_catalogue,
 )
+from chicorypost.events._limit import LineLimiter, LogBudget, NonBlockingOutput
 from chicorypost.events._logging import configure_logging, log_event
 
 __all__ = [
@@ -15,6 +16,9 @@
     "EventSpec",
     "FieldValue",
     "Level",
+    "LineLimiter",
+    "LogBudget",
+    "NonBlockingOutput",
     "configure_logging",
     "define_event",
     "event_catalogue",
--- a/chicorypost/events/_logging.py
+++ b/chicorypost/events/_logging.py
@@ -2,14 +2,25 @@
 
 import logging
 import sys
-from typing import TextIO
+from typing import Protocol
 
-from pythonjsonlogger.json import JsonFormatter
+from pythonjsonlogger.msgspec import MsgspecFormatter
 
 from chicorypost.events._catalogue import Emit, Level
 
 LOGGER_NAME = "chicorypost"
 
+
+class Output(Protocol):
+    """Where lines go."""
+
+    def write(self, text: str, /) -> object:
+        """Write one line."""
+
+    def flush(self) -> None:
+        """Hand over what was written."""
+
+
 _LEVELS = {
     Level.DEBUG: logging.DEBUG,
     Level.INFO: logging.INFO,
@@ -18,7 +29,7 @@
 }
 
 
-def configure_logging(level: Level, instance: str, output: TextIO | None = None) -> None:
+def configure_logging(level: Level, instance: str, output: Output | None = None) -> None:
     """Send the events of this process to a stream as JSON lines.
 
     Parameters
@@ -32,7 +43,7 @@
     """
     handler = logging.StreamHandler(output or sys.stderr)
     handler.setFormatter(
-        JsonFormatter(
+        MsgspecFormatter(
             "%(asctime)s %(levelname)s %(message)s",
             rename_fields={"asctime": "time", "levelname": "level", "message": "event"},
             static_fields={"instance": instance},
--- a/chicorypost/events/_page.py
+++ b/chicorypost/events/_page.py
@@ -18,6 +18,7 @@
 def import_all_events() -> None:
     """Import every module that defines events."""
     package = Path(__file__).parents[1]
+    importlib.import_module("chicorypost.events._limit")
     for file in sorted(package.glob("*/_events.py")):
         importlib.import_module(f"chicorypost.{file.parent.name}._events")
 
--- a/chicorypost/metrics/__init__.py
+++ b/chicorypost/metrics/__init__.py
@@ -1,5 +1,21 @@
 """Metrics of one process in the Prometheus format."""
 
-from chicorypost.metrics._metrics import ProcessMetrics
+from typing import TYPE_CHECKING
 
-__all__ = ["ProcessMetrics"]
+from chicorypost.base._lazy import import_lazily
+
+if TYPE_CHECKING:
+    from chicorypost.metrics._metrics import ProcessMetrics
+    from chicorypost.metrics._plain import Exposition, PlainHistogram, PlainMetrics
+
+__all__ = ["Exposition", "PlainHistogram", "PlainMetrics", "ProcessMetrics"]
+
+__getattr__ = import_lazily(
+    __name__,
+    {
+        "Exposition": "_plain",
+        "PlainHistogram": "_plain",
+        "PlainMetrics": "_plain",
+        "ProcessMetrics": "_metrics",
+    },
+)
--- /dev/null
+++ b/chicorypost/metrics/_plain.py
@@ -0,0 +1,96 @@
+"""Counters and histograms that cost nothing until they are read.
+
+Processes on small machines count with plain numbers; the Prometheus library is loaded when the
+metrics are asked for the first time.
+"""
+
+from bisect import bisect_left
+from collections.abc import Callable, Iterator, Mapping
+from typing import Any, Protocol
+
+SECONDS_BUCKETS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
+"""Upper bounds in seconds: from one round trip within a data centre to the longest deadlines."""
+
+
+class Exposition(Protocol):
+    """Whatever gives the text of the metrics listener."""
+
+    def exposition(self) -> tuple[bytes, str]:
+        """Return the text to serve and its content type."""
+
+
+class PlainHistogram:
+    """Counts durations by bucket."""
+
+    def __init__(self, buckets: tuple[float, ...] = SECONDS_BUCKETS) -> None:
+        self.buckets = buckets
+        self.counts = [0] * (len(buckets) + 1)
+        self.total = 0.0
+
+    def observe(self, seconds: float) -> None:
+        """Count one duration."""
+        self.counts[bisect_left(self.buckets, seconds)] += 1
+        self.total += seconds
+
+    def cumulative(self) -> list[tuple[str, float]]:
+        """Return how many durations were at most as long as each bound."""
+        pairs, count = [], 0
+        for bound, number in zip((*self.buckets, float("inf")), self.counts, strict=True):
+            count += number
+            pairs.append(("+Inf" if bound == float("inf") else str(bound), float(count)))
+        return pairs
+
+
+class PlainMetrics:
+    """The metrics of one process, read from where they are counted.
+
+    Parameters
+    ----------
+    counters : callable
+        Returns the counters by name; each has a count by the value of its label.
+    gauges : callable
+        Returns the gauges by name.
+    histograms : mapping of str to PlainHistogram
+        Histograms by name.
+    """
+
+    def __init__(
+        self,
+        counters: Callable[[], Mapping[str, Mapping[str, int]]],
+        gauges: Callable[[], Mapping[str, float]],
+        histograms: Mapping[str, PlainHistogram],
+    ) -> None:
+        self.counters = counters
+        self.gauges = gauges
+        self.histograms = histograms
+
+    def exposition(self) -> tuple[bytes, str]:
+        """Return the text to serve and its content type."""
+        from prometheus_client import CollectorRegistry, generate_latest
+        from prometheus_client.exposition import CONTENT_TYPE_LATEST
+
+        registry = CollectorRegistry()
+        registry.register(self)
+        return generate_latest(registry), CONTENT_TYPE_LATEST
+
+    def collect(self) -> Iterator[Any]:
+        """Return the metrics as the Prometheus library wants them."""
+        from prometheus_client.core import (
+            CounterMetricFamily,
+            GaugeMetricFamily,
+            HistogramMetricFamily,
+        )
+
+        for name, by_label in self.counters().items():
+            counter = CounterMetricFamily(
+                f"chicorypost_{name}", f"{name}, by kind", labels=["kind"]
+            )
+            for label, count in by_label.items():
+                counter.add_metric([label], count)
+            yield counter
+        for name, value in self.gauges().items():
+            yield GaugeMetricFamily(f"chicorypost_{name}", name.replace("_", " "), value=value)
+        for name, histogram in self.histograms.items():
+            family = HistogramMetricFamily(f"chicorypost_{name}", name.replace("_", " "))
+            family.add_metric([], histogram.cumulative(), histogram.total)
+            yield family
--- a/chicorypost/platform/__init__.py
+++ b/chicorypost/platform/__init__.py
@@ -27,7 +27,15 @@
         read_call,
     )
     from chicorypost.platform._configuration import read_configuration
-    from chicorypost.platform._packets import BadPacket, make_reset, read_packet, wrap_packet
+    from chicorypost.platform._packets import (
+        BadPacket,
+        make_reset,
+        name_address,
+        name_flow,
+        read_packet,
+        read_request_id,
+        wrap_packet,
+    )
     from chicorypost.platform._settings import (
         SETTINGS_VARIABLE,
         NodeSettings,
@@ -53,6 +61,8 @@
     "answer_unavailable",
     "answer_unknown",
     "make_reset",
+    "name_address",
+    "name_flow",
     "read_announcement",
     "read_call",
     "read_configuration",
@@ -60,6 +70,7 @@
     "read_leaving",
     "read_node_settings",
     "read_packet",
+    "read_request_id",
     "wrap_packet",
 ]
 
@@ -82,6 +93,8 @@
         "answer_unavailable": "_calls",
         "answer_unknown": "_calls",
         "make_reset": "_packets",
+        "name_address": "_packets",
+        "name_flow": "_packets",
         "read_announcement": "_announcements",
         "read_call": "_calls",
         "read_configuration": "_configuration",
@@ -89,6 +102,7 @@
         "read_leaving": "_announcements",
         "read_node_settings": "_settings",
         "read_packet": "_packets",
+        "read_request_id": "_packets",
         "wrap_packet": "_packets",
     },
 )
--- a/chicorypost/platform/_packets.py
+++ b/chicorypost/platform/_packets.py
@@ -22,6 +22,9 @@
 _COOKIE = struct.Struct(">I")
 _COOKIE_OFFSET = 28
 _TOKEN = struct.Struct(">Q")
+MAX_ID_CHARACTERS = 64
+_METHODS = frozenset((b"GET ", b"POST", b"PUT ", b"HEAD", b"DELE", b"PATC", b"OPTI"))
+_REQUEST_ID = b"\r\nX-Request-Id:"
 _ENDS = slice(16, 28)
 """Ports and addresses of both ends."""
 
@@ -57,6 +60,33 @@
     )
 
 
+def read_request_id(data: bytes) -> str:
+    """Return the id of the request that begins in a packet, or an empty string."""
+    if data[HEAD_BYTES : HEAD_BYTES + 4] not in _METHODS:
+        return ""
+    start = data.find(_REQUEST_ID, HEAD_BYTES)
+    end = data.find(b"\r\n", start)
+    if start < 0 or end < 0:
+        return ""
+    return data[start + len(_REQUEST_ID) : end].strip().decode("latin-1")[:MAX_ID_CHARACTERS]
+
+
+def name_flow(data: bytes) -> str:
+    """Return the client's end of the flow of a packet, as logs name the flow."""
+    head = _HEAD.unpack_from(data)
+    return f"{_name_host(head[9])}:{head[6]}"
+
+
+def name_address(data: bytes) -> str:
+    """Return the virtual address that a packet is sent to."""
+    head = _HEAD.unpack_from(data)
+    return f"{_name_host(head[8])}:{head[7]}"
+
+
+def _name_host(number: int) -> str:
+    return ".".join(str(octet) for octet in number.to_bytes(4, "big"))
+
+
 def make_address(host: str, port: int) -> Address:
     """Return the virtual address of a route as packets name it: the IPv4 address as a number."""
     number = int.from_bytes(bytes(int(part) for part in host.split(".")), "big")
@@ -78,4 +108,4 @@
     reset = _HEAD.pack(
         0, 0, acknowledged, 0, ABORTS, 0, route_port, client_port, client_host, route_host, 0
     )
-    return ".".join(str(octet) for octet in client_host.to_bytes(4, "big")), reset
+    return _name_host(client_host), reset
--- a/chicorypost/roles/_balancer.py
+++ b/chicorypost/roles/_balancer.py
@@ -25,6 +25,7 @@
 from chicorypost.daemons._engine import messages_in
 from chicorypost.daemons._events import STARTED
 from chicorypost.daemons._stop import StopControl
+from chicorypost.metrics import PlainMetrics
 from chicorypost.platform import (
     BadPacket,
     NodeSettings,
@@ -32,7 +33,9 @@
     read_packet,
     wrap_packet,
 )
+from chicorypost.roles._admin import serve_admin
 from chicorypost.roles._events import PACKET_SOCKET_FAILED, READY, ROUTING_APPLIED
+from chicorypost.roles._flow_log import FlowLog
 from chicorypost.roles._process import Journal, network_settings, resolve_control
 from chicorypost.roles._settings_file import watch_settings
 from chicorypost.transport import (
@@ -82,6 +85,7 @@
             Part("view", self.view, messages_in(FEED_TAGS), (PeerReached, PeerGone, SeedsChanged))
         )
         self.engine.add(Part("flows", self.router, (), (RoutingApplied, UpstreamsSeen)))
+        self.flow_log = FlowLog(self.router, journal.emit)
         self.client_port = settings.packets.port
         self.socket = open_packet_socket(settings.packets)
         self.was_ready = False
@@ -199,7 +203,28 @@
         server = HttpServer("readiness", HttpSettings(), self._answer, self.journal.emit)
         host, port = self.settings.readiness.host, self.settings.readiness.port
         listeners = await trio.open_tcp_listeners(port, host=host)
-        await trio.serve_listeners(server.serve, listeners)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(trio.serve_listeners, server.serve, listeners)
+            nursery.start_soon(
+                serve_admin, host, self.metrics(), self.dump, self.not_ready, self.journal.emit
+            )
+
+    def metrics(self) -> PlainMetrics:
+        """Return the metrics of this process."""
+        tracker = self.router.tracker
+        return PlainMetrics(
+            lambda: {"events": self.journal.counts_by_name(), "packets": self.router.counters},
+            lambda: {
+                "configuration_version": self.router.version,
+                "flows": len(tracker.flows),
+                "upstreams": len(self.router.upstreams),
+                "silent_upstreams": sum(item.silent for item in self.router.upstreams.values()),
+            },
+            {
+                "flow_opening_seconds": tracker.opening_seconds,
+                "request_seconds": tracker.request_seconds,
+            },
+        )
 
     async def _forward_packets(self) -> None:
         while True:
@@ -222,12 +247,14 @@
             if isinstance(packet, BadPacket):
                 self.router.counters[f"refused-{packet.value}"] += 1
                 continue
-            match self.router.route(packet, now):
+            decision = self.router.route(packet, now)
+            match decision:
                 case ForwardTo(address=address, token=token, cookie=cookie):
                     self._send_datagram(wrap_packet(data, token, cookie), address)
                 case ResetFlow():
                     host, reset = make_reset(data)
                     self._send_datagram(reset, (host, self.client_port))
+            self.flow_log.note(packet, data, decision)
         if self.router.effects:
             self.engine.carry_out(self.router.take_effects())
 
--- a/chicorypost/roles/_control.py
+++ b/chicorypost/roles/_control.py
@@ -43,7 +43,9 @@
 from chicorypost.daemons._engine import messages_in
 from chicorypost.daemons._events import STARTED
 from chicorypost.daemons._stop import StopControl
+from chicorypost.metrics import PlainMetrics
 from chicorypost.platform import NodeSettings, read_configuration
+from chicorypost.roles._admin import serve_admin
 from chicorypost.roles._control_calls import ControlCalls
 from chicorypost.roles._events import MEMBERSHIP_REPAIR, ROUTING_APPLIED
 from chicorypost.roles._process import Journal, network_settings, resolve_control
@@ -116,6 +118,7 @@
         self.balancers: set[InstanceId] = set()
         self._add_parts()
         self.network = self._make_network()
+        self.calls = ControlCalls(self.instance, self.host, self.state, self.waiters, journal)
         self.server = self._make_server()
 
     def _add_parts(self) -> None:
@@ -147,9 +150,8 @@
         )
 
     def _make_server(self) -> HttpServer:
-        calls = ControlCalls(self.instance, self.host, self.state, self.waiters, self.journal)
         http = HttpSettings(body_bytes=MAX_DOCUMENT_BYTES)
-        return HttpServer("control", http, calls.handle, self.journal.emit)
+        return HttpServer("control", http, self.calls.handle, self.journal.emit)
 
     def _note_connected(self, peer: InstanceId) -> None:
         self.engine.post(PeerReached(peer))
@@ -196,6 +198,31 @@
         """Return the whole decision state of this process."""
         return {"id": self.instance, "version": self.state.version, **self.engine.dump()}
 
+    def not_ready(self) -> str:
+        """Return why this instance can't answer operators, or an empty string."""
+        replica = self.host.replica
+        if replica is None:
+            return "the disk refuses"
+        return "" if replica.leader is not None else "no leader"
+
+    def metrics(self) -> PlainMetrics:
+        """Return the metrics of this process."""
+        return PlainMetrics(
+            lambda: {"events": self.journal.counts_by_name()},
+            lambda: {
+                "configuration_version": self.state.version,
+                "leading": float(self.is_leading()),
+                "disk_refuses": float(self.host.replica is None),
+                "upstreams": len(self.keeper.table.entries),
+                "subscribers": len(self.keeper.feed.subscribers),
+            },
+            {"call_seconds": self.calls.seconds},
+        )
+
+    def is_leading(self) -> bool:
+        """Return whether this instance leads the replicated log."""
+        return self.host.replica is not None and self.host.replica.role is Role.LEADER
+
     async def run(self) -> None:
         """Serve until a stop."""
         settings = self.settings
@@ -214,6 +241,14 @@
             nursery.start_soon(watch)
             self.engine.post(TableRestored(self.table_file.load()))
             self.journal.emit(STARTED.emit(role="control", version=__version__))
+            nursery.start_soon(
+                serve_admin,
+                settings.host,
+                self.metrics(),
+                self.dump,
+                self.not_ready,
+                self.journal.emit,
+            )
             self.engine.reschedule()
             nursery.start_soon(self.engine.run_timer)
 
--- a/chicorypost/roles/_control_calls.py
+++ b/chicorypost/roles/_control_calls.py
@@ -2,6 +2,8 @@
 
 from uuid import uuid4
 
+import trio
+
 from chicorypost.announcements import (
     Announced,
     Announcement,
@@ -10,6 +12,7 @@
 )
 from chicorypost.base import InstanceId
 from chicorypost.consensus import ProposalAccepted, Propose, Read, ReadReady
+from chicorypost.metrics import PlainHistogram
 from chicorypost.platform import (
     AnnounceCall,
     AnnouncementMistake,
@@ -73,9 +76,16 @@
         self.state = state
         self.waiters = waiters
         self.journal = journal
+        self.seconds = PlainHistogram()
 
     async def handle(self, request: HttpServerRequest) -> HttpServerResponse:
-        """Answer one call."""
+        """Answer one call and count how long it took."""
+        started_at = trio.current_time()
+        response = await self._answer(request)
+        self.seconds.observe(trio.current_time() - started_at)
+        return response
+
+    async def _answer(self, request: HttpServerRequest) -> HttpServerResponse:
         match read_call(request):
             case AnnounceCall(name):
                 return await self._announce(name, read_announcement(name, request.body))
--- a/chicorypost/roles/_events.py
+++ b/chicorypost/roles/_events.py
@@ -53,6 +53,14 @@
 MEMBERSHIP_REPAIR = define_event(
     49, "membership-repair", Level.WARNING, "The leader changes the membership.", "change"
 )
+ADMIN_NOT_LISTENING = define_event(
+    52,
+    "admin-not-listening",
+    Level.WARNING,
+    "The admin listener could not be opened; metrics and dumps can't be had from this process.",
+    "port",
+    "reason",
+)
 TABLE_NOT_SAVED = define_event(
     51,
     "announcements-not-saved",
--- /dev/null
+++ b/chicorypost/roles/_flow_log.py
@@ -0,0 +1,87 @@
+"""Log lines of the decisions that touch a request."""
+
+from collections.abc import Callable
+
+from chicorypost.base import UpstreamId
+from chicorypost.cookies import CookiePacket, CookieRouter, Decision, Dropped, ForwardTo, ResetFlow
+from chicorypost.cookies._events import (
+    FLOW_OPENED,
+    FLOW_RESET,
+    PACKET_DROPPED,
+    REQUEST_FORWARDED,
+)
+from chicorypost.events import Emit
+from chicorypost.platform import name_address, name_flow, read_request_id
+
+
+class FlowLog:
+    """Writes one line for each opening, request, reset and drop, with what decided it.
+
+    Parameters
+    ----------
+    router : CookieRouter
+        Decides; asked for the version and the upstreams that it decided by.
+    emit : callable
+        Takes log events.
+    """
+
+    def __init__(self, router: CookieRouter, emit: Callable[[Emit], None]) -> None:
+        self.router = router
+        self.emit = emit
+
+    def note(self, packet: CookiePacket, data: bytes, decision: Decision) -> None:
+        """Log a decision, unless it only passes on a packet within a request."""
+        match decision:
+            case ForwardTo(upstream=upstream) if packet.opens:
+                self._note_opening(packet, data, upstream)
+            case ForwardTo():
+                self._note_request(packet, data, decision)
+            case ResetFlow(reason=reason):
+                event = FLOW_RESET.emit(
+                    flow=name_flow(data),
+                    route=self._name_route(packet, data),
+                    request=read_request_id(data),
+                    reason=reason.value,
+                    candidates=self.router.count_candidates(packet.address),
+                    version=self.router.version,
+                )
+                self.emit(event)
+            case Dropped(reason=reason):
+                event = PACKET_DROPPED.emit(
+                    flow=name_flow(data),
+                    request=read_request_id(data),
+                    reason=reason.value,
+                    version=self.router.version,
+                )
+                self.emit(event)
+
+    def _name_route(self, packet: CookiePacket, data: bytes) -> str:
+        route = self.router.routes.get(packet.address)
+        return route.name if route is not None else name_address(data)
+
+    def _note_opening(self, packet: CookiePacket, data: bytes, upstream: UpstreamId) -> None:
+        load = self.router.tracker.loads.get(upstream)
+        event = FLOW_OPENED.emit(
+            flow=name_flow(data),
+            route=self._name_route(packet, data),
+            upstream=upstream,
+            copies=packet.acknowledged,
+            candidates=self.router.count_candidates(packet.address),
+            load=load.busy + load.opening if load is not None else 0,
+            version=self.router.version,
+        )
+        self.emit(event)
+
+    def _note_request(self, packet: CookiePacket, data: bytes, decision: ForwardTo) -> None:
+        request = read_request_id(data) if packet.data_bytes else ""
+        if not request:
+            return
+        known = self.router.upstreams.get(decision.upstream)
+        event = REQUEST_FORWARDED.emit(
+            request=request,
+            flow=name_flow(data),
+            upstream=decision.upstream,
+            silent=known.silent if known is not None else False,
+            version=self.router.version,
+        )
+        self.emit(event)
--- a/chicorypost/roles/_process.py
+++ b/chicorypost/roles/_process.py
@@ -1,9 +1,10 @@
 """What both roles share: logs and the settings of connections between processes."""
 
+import time
 from collections.abc import Callable
 
 from chicorypost.base import Endpoint, InstanceId
-from chicorypost.events import Emit, log_event
+from chicorypost.events import Emit, EventSpec, LineLimiter, LogBudget, log_event
 from chicorypost.platform import read_endpoint
 from chicorypost.transport import TransportSettings
 
@@ -17,23 +18,38 @@
 
 
 class Journal:
-    """Writes and counts log events.
+    """Counts log events and writes them within the budget.
 
     Parameters
     ----------
     write : callable, optional
         Writes one event.
+    clock : callable, optional
+        A steady clock in seconds.
     """
 
-    def __init__(self, write: Callable[[Emit], None] = log_event) -> None:
+    def __init__(
+        self,
+        write: Callable[[Emit], None] = log_event,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
         self.write = write
-        self.counts: dict[str, int] = {}
+        self.clock = clock
+        self.limiter = LineLimiter(LogBudget(), clock())
+        self.counts: dict[EventSpec, int] = {}
+
+    def counts_by_name(self) -> dict[str, int]:
+        """Return how often each event has occurred, by its name."""
+        return {spec.name: count for spec, count in self.counts.items()}
 
     def emit(self, event: Emit) -> None:
-        """Log and count an event."""
-        name = event.spec.name
-        self.counts[name] = self.counts.get(name, 0) + 1
-        self.write(event)
+        """Count an event, and write it if the budget allows."""
+        self.counts[event.spec] = self.counts.get(event.spec, 0) + 1
+        now = self.clock()
+        for report in self.limiter.report(now):
+            self.write(report)
+        if self.limiter.allow(event.spec.name, now):
+            self.write(event)
 
 
 def network_settings() -> TransportSettings:
--- a/chicorypost/roles/_start.py
+++ b/chicorypost/roles/_start.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from chicorypost.events import Level, configure_logging
+from chicorypost.events import Level, NonBlockingOutput, configure_logging
 from chicorypost.platform import NodeSettingsMistake
 from chicorypost.roles._process import Journal
 from chicorypost.roles._settings_file import load_node_settings
@@ -19,7 +19,8 @@
     if isinstance(settings, NodeSettingsMistake):
         print(f"settings can't be used: {settings.detail}", file=sys.stderr)
         return USAGE_STATUS
-    configure_logging(Level.INFO, settings.name, sys.stdout)
+    output = NonBlockingOutput(sys.stdout.fileno())
+    configure_logging(Level.INFO, settings.name, output)
     match arguments:
         case ["balancer"]:
             from chicorypost.roles._balancer import run_balancer
