Forget upstreams that stay silent

Cause: a balancer kept every upstream that had crashed without leaving, for as long as it ran (found by reading; a new name comes with each start of an upstream). Ruled out: a message for each removal (control instances forget after the same time). A test fails without it.

--- a/chicorypost/announcements/_view.py
+++ b/chicorypost/announcements/_view.py
@@ -110,7 +110,7 @@
         self.seeds = seeds
         self.feeds: dict[InstanceId, ControlFeed] = {}
         self.known: dict[UpstreamId, VisibleUpstream] = {}
-        self.gone_at: dict[UpstreamId, Instant] = {}
+        self.unused_at: dict[UpstreamId, Instant] = {}
         self.document: RoutingDocument | None = None
         self.asked: InstanceId | None = None
         self.asked_until = now
@@ -217,10 +217,10 @@
             if seen is not None and seen != self.known.get(name):
                 self.known[name] = seen
                 has_changed = True
-            if seen is not None and seen.announcement.standing is Standing.GONE:
-                self.gone_at.setdefault(name, now)
+            if seen is not None and (seen.silent or seen.announcement.standing is Standing.GONE):
+                self.unused_at.setdefault(name, now)
             else:
-                self.gone_at.pop(name, None)
+                self.unused_at.pop(name, None)
         if has_changed:
             self.effects.append(UpstreamsSeen(tuple(self.known.values())))
 
@@ -293,10 +293,10 @@
         self._forget(now)
 
     def _forget(self, now: Instant) -> None:
-        """Drop upstreams that have been gone for long."""
+        """Drop upstreams that have been gone or silent for long."""
         limit = self.settings.forget_seconds
-        for name in [name for name, at in self.gone_at.items() if now - at >= limit]:
-            del self.gone_at[name]
+        for name in [name for name, at in self.unused_at.items() if now - at >= limit]:
+            del self.unused_at[name]
             self.known.pop(name, None)
             for feed in self.feeds.values():
                 feed.listed.pop(name, None)
--- a/chicorypost/announcements/tests/test_spread.py
+++ b/chicorypost/announcements/tests/test_spread.py
@@ -138,6 +138,14 @@
     assert other in network.seen
 
 
+def test_a_dead_upstream_is_forgotten_in_the_end(network):
+    network.run(2.0, keep_calling(network, "c1"))
+    network.run(SETTINGS.forget_seconds + SETTINGS.silent_seconds + 2.0)
+    assert ORDERS not in network.view.known
+    network.announce("c1", ready(90))
+    assert ORDERS in network.view.known
+
+
 def test_slow_upstreams_are_known_until_when(network):
     network.run(1.0)
     network.announce("c1", msgspec.structs.replace(ready(1), warm_in_ms=2000))
