--- a/benchmarks/forwarding.py
+++ b/benchmarks/forwarding.py
@@ -34,8 +34,9 @@
     ViewChanged,
 )
 from chicorypost.configuration import ConfigurationApplied, ConfigurationDocument
-from chicorypost.daemons import Engine, PacketForwarder, Part, open_packet_socket
+from chicorypost.daemons import Engine, PacketForwarder, Part
 from chicorypost.flows import FlowRouter, FlowSettings
+from chicorypost.transport import open_packet_socket
 
 BATCH = 64
 PACKET_BYTES = 200
--- a/chicorypost/daemons/__init__.py
+++ b/chicorypost/daemons/__init__.py
@@ -12,7 +12,7 @@
     from chicorypost.daemons._control import run_control
     from chicorypost.daemons._control_settings import ControlSettings
     from chicorypost.daemons._engine import Engine, Part
-    from chicorypost.daemons._packets import PacketForwarder, open_packet_socket
+    from chicorypost.daemons._packets import PacketForwarder
     from chicorypost.daemons._settings import (
         BalancerSettings,
         ProcessSettings,
@@ -33,7 +33,6 @@
     "SettingsMistake",
     "check_settings",
     "load_settings",
-    "open_packet_socket",
     "parse_endpoint",
     "run_balancer",
     "run_control",
@@ -52,7 +51,6 @@
         "SettingsMistake": "_settings",
         "check_settings": "_settings",
         "load_settings": "_settings",
-        "open_packet_socket": "_packets",
         "parse_endpoint": "_settings",
         "run_balancer": "_balancer",
         "run_control": "_control",
--- a/chicorypost/daemons/_balancer.py
+++ b/chicorypost/daemons/_balancer.py
@@ -29,7 +29,7 @@
 from chicorypost.daemons._events import STARTED, STOPPED
 from chicorypost.daemons._exchanges import UpstreamExchanges
 from chicorypost.daemons._listeners import endpoint_of, open_listener
-from chicorypost.daemons._packets import PacketForwarder, open_packet_socket
+from chicorypost.daemons._packets import PacketForwarder
 from chicorypost.daemons._settings import BalancerSettings, parse_endpoint
 from chicorypost.daemons._stop import StopControl
 from chicorypost.events import Emit, log_event
@@ -37,7 +37,7 @@
 from chicorypost.membership import Leave
 from chicorypost.metrics import ProcessMetrics
 from chicorypost.requests import Respond, WallClockRead
-from chicorypost.transport import Hello, HttpServer, PeerNetwork, TlsContexts
+from chicorypost.transport import Hello, HttpServer, PeerNetwork, TlsContexts, open_packet_socket
 from chicorypost.upstreams import CancelExchange, Drain, StartExchange
 
 OBSERVE_SECONDS = 0.5
--- a/chicorypost/daemons/_packets.py
+++ b/chicorypost/daemons/_packets.py
@@ -26,20 +26,10 @@
 FLOWS_PART = "flows"
 """Name under which the flow router is added to the engine."""
 
-SOCKET_BUFFER_BYTES = 4 * 1024 * 1024
 HOP_MARK = b"\x00chicorypost-hop"
 """Precedes a packet that one balancer passed to another; no IPv4 packet begins with a zero byte."""
 
 
-def open_packet_socket(endpoint: Endpoint) -> socket.socket:
-    """Open the UDP socket to which the fabric sends packets."""
-    packet_socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    packet_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
-    packet_socket.setblocking(False)
-    packet_socket.bind((endpoint.host, endpoint.port))
-    return packet_socket
-
-
 class PacketForwarder:
     """The packet listener of a balancer.
 
--- a/chicorypost/roles/_balancer.py
+++ b/chicorypost/roles/_balancer.py
@@ -1,7 +1,5 @@
 """The balancer role: packets in and out, readiness, and the feeds of the control instances."""
 
-import socket
-import time
 from functools import partial
 from random import Random
 from typing import TYPE_CHECKING, Any
@@ -19,7 +17,7 @@
     SeedsChanged,
     UpstreamsSeen,
 )
-from chicorypost.base import Effect, Endpoint, Event, Incarnation, InstanceId, Message
+from chicorypost.base import Effect, Event, InstanceId, Message
 from chicorypost.cookies import CookieRouter, CookieSettings, ForwardTo, ResetFlow
 from chicorypost.daemons import Engine, Part
 from chicorypost.daemons._engine import messages_in
@@ -36,14 +34,9 @@
 from chicorypost.roles._admin import serve_admin
 from chicorypost.roles._events import PACKET_SOCKET_FAILED, READY, ROUTING_APPLIED
 from chicorypost.roles._flow_log import FlowLog
-from chicorypost.roles._process import Journal, network_settings, resolve_control
+from chicorypost.roles._process import Journal, make_network
 from chicorypost.roles._settings_file import watch_settings
-from chicorypost.transport import (
-    Hello,
-    PeerNetwork,
-    TlsContexts,
-    TlsSettings,
-)
+from chicorypost.transport import NOT_LISTENING, open_packet_socket
 
 if TYPE_CHECKING:
     from chicorypost.transport import HttpServerRequest, HttpServerResponse
@@ -87,34 +80,10 @@
         self.engine.add(Part("flows", self.router, (), (RoutingApplied, UpstreamsSeen)))
         self.flow_log = FlowLog(self.router, journal.emit)
         self.client_port = settings.packets.port
-        self.socket = open_packet_socket(settings.packets)
+        self.socket = open_packet_socket(settings.packets, SOCKET_BUFFER_BYTES)
         self.was_ready = False
-        self.network = self._make_network()
-
-    def _make_network(self) -> PeerNetwork:
-        settings = self.settings
-        hello = Hello(
-            InstanceId(settings.host),
-            Incarnation(time.time_ns() // 1_000_000),
-            settings.data_centre,
-            Endpoint(settings.host, 0),
-        )
-        return PeerNetwork(
-            network_settings(),
-            hello,
-            TlsContexts(TlsSettings(off=True), self.journal.emit),
-            self.engine.receive,
-            self.journal.emit,
-            resolve=partial(resolve_control, port=settings.peer_port),
-            on_connected=self._note_connected,
-            on_lost=self._note_lost,
-        )
-
-    def _note_connected(self, peer: InstanceId) -> None:
-        self.engine.post(PeerReached(peer))
-
-    def _note_lost(self, peer: InstanceId) -> None:
-        self.engine.post(PeerGone(peer))
+        instance = InstanceId(settings.host)
+        self.network = make_network(settings, instance, NOT_LISTENING, self.engine, journal)
 
     def _send(self, to: InstanceId, message: Message) -> None:
         self.network.send(to, message)
@@ -268,15 +237,6 @@
             self.journal.emit(PACKET_SOCKET_FAILED.emit(reason=str(error)))
 
 
-def open_packet_socket(endpoint: Endpoint) -> socket.socket:
-    """Open the UDP socket to which the fabric sends packets."""
-    packet_socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    packet_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
-    packet_socket.setblocking(False)
-    packet_socket.bind((endpoint.host, endpoint.port))
-    return packet_socket
-
-
 async def run_balancer(settings: NodeSettings, journal: Journal) -> None:
     """Run the balancer role until a stop."""
     await BalancerRole(settings, journal).run()
--- a/chicorypost/roles/_control.py
+++ b/chicorypost/roles/_control.py
@@ -1,6 +1,5 @@
 """The control role: replicated configuration, calls of upstreams and operators, feed."""
 
-import time
 from functools import partial
 from pathlib import Path
 from random import Random
@@ -22,7 +21,7 @@
     TableRestored,
     VersionApplied,
 )
-from chicorypost.base import Effect, Endpoint, Event, Incarnation, InstanceId, Message
+from chicorypost.base import Effect, Event, InstanceId, Message
 from chicorypost.consensus import (
     Apply,
     ChangeMembership,
@@ -48,19 +47,15 @@
 from chicorypost.roles._admin import serve_admin
 from chicorypost.roles._control_calls import ControlCalls
 from chicorypost.roles._events import MEMBERSHIP_REPAIR, ROUTING_APPLIED
-from chicorypost.roles._process import Journal, network_settings, resolve_control
+from chicorypost.roles._process import Journal, make_network
 from chicorypost.roles._replica_host import HOST_EVENTS, DiskWriter, ReplicaHost
 from chicorypost.roles._settings_file import watch_settings
 from chicorypost.roles._table_file import TableFile
 from chicorypost.roles._waiters import Waiters
 from chicorypost.routing import RoutingState
 from chicorypost.transport import (
-    Hello,
     HttpServer,
     HttpSettings,
-    PeerNetwork,
-    TlsContexts,
-    TlsSettings,
 )
 
 CONSENSUS_TAGS = range(100, 200)
@@ -117,7 +112,8 @@
         self.known_peers: tuple[InstanceId, ...] = ()
         self.balancers: set[InstanceId] = set()
         self._add_parts()
-        self.network = self._make_network()
+        port = settings.peer_port
+        self.network = make_network(settings, self.instance, port, self.engine, journal)
         self.calls = ControlCalls(self.instance, self.host, self.state, self.waiters, journal)
         self.server = self._make_server()
 
@@ -129,36 +125,10 @@
         messages = messages_in(ANNOUNCEMENT_TAGS)
         self.engine.add(Part("announcements", self.keeper, messages, told))
 
-    def _make_network(self) -> PeerNetwork:
-        settings = self.settings
-        hello = Hello(
-            self.instance,
-            Incarnation(time.time_ns() // 1_000_000),
-            settings.data_centre,
-            Endpoint(settings.host, settings.peer_port),
-        )
-        tls = TlsContexts(TlsSettings(off=True), self.journal.emit)
-        return PeerNetwork(
-            network_settings(),
-            hello,
-            tls,
-            self.engine.receive,
-            self.journal.emit,
-            resolve=partial(resolve_control, port=settings.peer_port),
-            on_connected=self._note_connected,
-            on_lost=self._note_lost,
-        )
-
     def _make_server(self) -> HttpServer:
         http = HttpSettings(body_bytes=MAX_DOCUMENT_BYTES)
         return HttpServer("control", http, self.calls.handle, self.journal.emit)
 
-    def _note_connected(self, peer: InstanceId) -> None:
-        self.engine.post(PeerReached(peer))
-
-    def _note_lost(self, peer: InstanceId) -> None:
-        self.engine.post(PeerGone(peer))
-
     def _send(self, to: InstanceId, message: Message) -> None:
         # Balancers don't listen: without their connection there is nowhere to send to.
         if to == self.instance or ":" in to or self.network.is_connected(to):
--- a/chicorypost/roles/_process.py
+++ b/chicorypost/roles/_process.py
@@ -2,11 +2,14 @@
 
 import time
 from collections.abc import Callable
+from functools import partial
 
-from chicorypost.base import Endpoint, InstanceId
+from chicorypost.announcements import PeerGone, PeerReached
+from chicorypost.base import Endpoint, Incarnation, InstanceId
+from chicorypost.daemons import Engine
 from chicorypost.events import Emit, EventSpec, LineLimiter, LogBudget, log_event
-from chicorypost.platform import read_endpoint
-from chicorypost.transport import TransportSettings
+from chicorypost.platform import NodeSettings, read_endpoint
+from chicorypost.transport import Hello, PeerNetwork, TlsContexts, TlsSettings, TransportSettings
 
 HEARTBEAT_SECONDS = 0.5
 """Heartbeat interval on connections between our processes: three are lost before one is given
@@ -52,13 +55,39 @@
             self.write(event)
 
 
-def network_settings() -> TransportSettings:
-    """Return the settings of connections between our processes."""
-    return TransportSettings(
-        heartbeat_seconds=HEARTBEAT_SECONDS,
-        silence_seconds=SILENCE_SECONDS,
-        dial_seconds=DIAL_SECONDS,
-        redial_seconds=REDIAL_SECONDS,
+def make_network(
+    settings: NodeSettings, instance: InstanceId, port: int, engine: Engine, journal: Journal
+) -> PeerNetwork:
+    """Return the connections of a role, which tell its machines when they open and end.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        Settings of this process.
+    instance : InstanceId
+        This process.
+    port : int
+        Where it takes connections of peers, or `NOT_LISTENING`.
+    engine : Engine
+        Runs its machines.
+    journal : Journal
+        Takes log events.
+    """
+    incarnation = Incarnation(time.time_ns() // 1_000_000)
+    return PeerNetwork(
+        TransportSettings(
+            heartbeat_seconds=HEARTBEAT_SECONDS,
+            silence_seconds=SILENCE_SECONDS,
+            dial_seconds=DIAL_SECONDS,
+            redial_seconds=REDIAL_SECONDS,
+        ),
+        Hello(instance, incarnation, settings.data_centre, Endpoint(settings.host, port)),
+        TlsContexts(TlsSettings(off=True), journal.emit),
+        engine.receive,
+        journal.emit,
+        resolve=partial(resolve_control, port=settings.peer_port),
+        on_connected=lambda peer: engine.post(PeerReached(peer)),
+        on_lost=lambda peer: engine.post(PeerGone(peer)),
     )
 
 
--- a/chicorypost/transport/__init__.py
+++ b/chicorypost/transport/__init__.py
@@ -5,6 +5,7 @@
 from chicorypost.base._lazy import import_lazily
 
 if TYPE_CHECKING:
+    from chicorypost.transport._datagrams import open_packet_socket
     from chicorypost.transport._frames import END_OF_STREAM, EndOfStream, FrameReader, encode_frame
     from chicorypost.transport._http import (
         Handler,
@@ -23,12 +24,13 @@
     )
     from chicorypost.transport._keys import write_keys
     from chicorypost.transport._messages import Heartbeat, HeartbeatReply, Hello
-    from chicorypost.transport._peers import PeerLink, PeerNetwork
+    from chicorypost.transport._peers import NOT_LISTENING, PeerLink, PeerNetwork
     from chicorypost.transport._settings import HttpSettings, TlsSettings, TransportSettings
     from chicorypost.transport._tls import TlsContexts
 
 __all__ = [
     "END_OF_STREAM",
+    "NOT_LISTENING",
     "EndOfStream",
     "ExchangeAnswer",
     "ExchangeFailed",
@@ -52,6 +54,7 @@
     "encode_frame",
     "exchange_once",
     "open_http",
+    "open_packet_socket",
     "write_keys",
 ]
 
@@ -74,6 +77,7 @@
         "HttpServerRequest": "_http",
         "HttpServerResponse": "_http",
         "HttpSettings": "_settings",
+        "NOT_LISTENING": "_peers",
         "PeerLink": "_peers",
         "PeerNetwork": "_peers",
         "TlsContexts": "_tls",
@@ -82,6 +86,7 @@
         "encode_frame": "_frames",
         "exchange_once": "_http_client",
         "open_http": "_http_client",
+        "open_packet_socket": "_datagrams",
         "write_keys": "_keys",
     },
 )
