Read the id of a request in its packet; add the fault soak

Cause: no line request-forwarded was ever written: the end of the header was looked for from its own line break on, so the id was always empty (seen in the logs of the first soak runs). A second finding of those runs, "own answer", was the stand-in's: its answers all had the same sequence number, so an answer that was sent again after a freeze was taken for the next one.

Ruled out: the limiter (no line was suppressed); a balancer that mixes flows (the stale answer was sent by the right upstream on the right flow).

Change: the id is found; tests of it and of the names in logs fail without. Answers of the stand-in upstream have sequence numbers, the client drops what it has had.

--- /dev/null
+++ b/benchmarks/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Fault soak: the real programs as processes, faults from outside, promises checked meanwhile."""
--- /dev/null
+++ b/benchmarks/soak/__main__.py
@@ -0,0 +1,268 @@
+"""Run the fault soak.
+
+``python -m benchmarks.soak --seed 1 [--runs N] [--seconds S]`` prints each seed, its plan and its
+findings, and exits with 1 if there is any finding.
+"""
+
+import argparse
+import os
+import random
+import shutil
+import signal
+import sys
+import tempfile
+from functools import partial
+from pathlib import Path
+
+import trio
+
+from benchmarks.soak.checks import Finding
+from benchmarks.soak.plan import Action, Step, make_plan
+from benchmarks.soak.processes import RoleProcess
+from benchmarks.soak.proxy import Mode
+from benchmarks.soak.world import SERVICES, World
+
+CLIENTS = 12
+CALM_SECONDS = 14.0
+"""After the last step: longer than a flow may take to be served again."""
+START_SECONDS = 40.0
+"""Limit for the first configuration; processes start slowly beside other work."""
+
+PROXY_MODES = {
+    Action.CONTROL_SILENT: Mode.SILENT,
+    Action.CONTROL_RESET: Mode.RESET,
+    Action.CONTROL_DELAY: Mode.DELAY,
+    Action.CONTROL_ONE_WAY: Mode.ONE_WAY,
+}
+
+
+class Soak:
+    """One run: plan, world and what the steps do."""
+
+    def __init__(self, seed: int, seconds: float, folder: Path) -> None:
+        self.seed = seed
+        self.plan = make_plan(seed, seconds)
+        net = 10 + (os.getpid() + seed) % 200
+        self.world = World(folder, net, random.Random(seed))
+        self.checks = self.world.checks
+
+    async def run(self) -> list[Finding]:
+        """Play the plan and return the findings."""
+        try:
+            async with trio.open_nursery() as nursery:
+                with trio.fail_after(START_SECONDS):
+                    await self.world.start(nursery)
+                for number in range(CLIENTS):
+                    nursery.start_soon(self._use, number)
+                nursery.start_soon(self._read_often)
+                await self._play(nursery)
+                await trio.sleep(CALM_SECONDS)
+                await self._finish()
+                nursery.cancel_scope.cancel()
+        finally:
+            self.world.stop()
+        return self.checks.findings
+
+    async def _play(self, nursery: trio.Nursery) -> None:
+        start = trio.current_time()
+        for step in self.plan:
+            await trio.sleep_until(start + step.at)
+            nursery.start_soon(self._carry_out, step)
+        longest = max((step.seconds for step in self.plan), default=0.0)
+        await trio.sleep(longest)
+
+    async def _finish(self) -> None:
+        self._clock()
+        before = self.checks.counts["answered"]
+        await trio.sleep(2.0)
+        self._clock()
+        served = self.checks.counts["answered"] - before
+        last = None
+        for _ in range(10):
+            last = last if last is not None else await self.world.read_version()
+        self.checks.finish(last, served)
+        for process in (*self.world.controls, *self.world.balancers):
+            end = process.unexpected_end()
+            if end:
+                self.checks.findings.append(Finding(self.checks.now, "no end by itself", end))
+
+    def _clock(self) -> None:
+        self.checks.now = trio.current_time()
+
+    async def _use(self, number: int) -> None:
+        client = self.world.make_client(number)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(client.receive)
+            targets = list(self.world.targets)
+            while True:
+                self._clock()
+                requests = client.rng.choice((1, 1, 5, 30))
+                await client.use_flow(client.rng.choice(targets), requests, 0.1)
+                await trio.sleep(client.rng.uniform(0.0, 0.1))
+
+    async def _read_often(self) -> None:
+        while True:
+            self._clock()
+            await self.world.read_version()
+            await trio.sleep(0.5)
+
+    async def _carry_out(self, step: Step) -> None:
+        self._clock()
+        world, action = self.world, step.action
+        control = world.controls[step.target % 3]
+        balancer = world.balancers[step.target % 4]
+        match action:
+            case Action.CONTROL_KILL_ALL:
+                await self._restart(step, world.controls, RoleProcess.kill)
+            case Action.CONTROL_KILL:
+                await self._restart(step, [control], RoleProcess.kill)
+            case Action.CONTROL_WIPE:
+                await self._restart(step, [control], RoleProcess.wipe)
+            case Action.BALANCER_KILL:
+                await self._restart(step, [balancer], RoleProcess.kill)
+            case Action.CONTROL_TERM:
+                await self._stop_and_start(control)
+            case Action.BALANCER_TERM:
+                await self._stop_and_start(balancer)
+            case Action.CONTROL_FREEZE:
+                await self._freeze(step, control)
+            case Action.BALANCER_FREEZE:
+                await self._freeze(step, balancer)
+            case Action.CONTROL_DISK_FULL:
+                await self._fill_disk(step, control)
+            case Action.SETTINGS_CHANGE:
+                self._change_settings(balancer, control)
+            case Action.PACKETS_LOST:
+                await self._lose_packets(step)
+            case Action.UPSTREAM_DRAIN | Action.UPSTREAM_CRASH:
+                await self._replace_upstream(step)
+            case Action.CONFIGURATION:
+                await world.put(world.version + 1 + step.target % 3)
+            case Action.CONFIGURATION_RACE:
+                async with trio.open_nursery() as nursery:
+                    first = world.version + 1
+                    nursery.start_soon(world.put, first)
+                    nursery.start_soon(world.put, first + 1)
+            case Action.CONFIGURATION_BAD:
+                await world.put_bad()
+            case _:
+                await self._disturb(step)
+
+    async def _disturb(self, step: Step) -> None:
+        """Let the connections of one control instance meet a fault."""
+        number = step.target % 3
+        proxies = self.world.proxies[2 * number : 2 * number + 2]
+        self.checks.fault(step.action.value)
+        for proxy in proxies:
+            proxy.set_mode(PROXY_MODES[step.action])
+        await trio.sleep(step.seconds)
+        for proxy in proxies:
+            proxy.set_mode(Mode.PASS)
+        self._fault_ends(step)
+
+    def _fault_ends(self, step: Step) -> None:
+        self._clock()
+        self.checks.fault(step.action.value)
+
+    async def _restart(self, step: Step, processes: list[RoleProcess], end: object) -> None:
+        self.checks.fault(step.action.value)
+        for process in processes:
+            end(process)  # type: ignore[operator]
+        await trio.sleep(step.seconds)
+        for process in processes:
+            process.settings["bootstrap"] = False
+            if not process.is_running:
+                process.start()
+        self._fault_ends(step)
+
+    async def _stop_and_start(self, process: RoleProcess) -> None:
+        """Stop a process in order; planned work on a balancer is no fault."""
+        if process.role == "control":
+            self.checks.fault("stop")
+        process.signal(signal.SIGTERM)
+        while process.is_running:
+            await trio.sleep(0.05)
+        process.settings["bootstrap"] = False
+        process.start()
+        if process.role == "control":
+            self._clock()
+            self.checks.fault("start")
+
+    async def _freeze(self, step: Step, process: RoleProcess) -> None:
+        self.checks.fault(step.action.value)
+        process.signal(signal.SIGSTOP)
+        await trio.sleep(step.seconds)
+        process.signal(signal.SIGCONT)
+        self._fault_ends(step)
+
+    async def _fill_disk(self, step: Step, process: RoleProcess) -> None:
+        self.checks.fault(step.action.value)
+        process.fill_disk(True)
+        await trio.sleep(step.seconds)
+        process.fill_disk(False)
+        self._fault_ends(step)
+
+    def _change_settings(self, *processes: RoleProcess) -> None:
+        for process in processes:
+            process.settings["seeds"].reverse()
+            process.write_settings()
+            process.signal(signal.SIGHUP)
+
+    async def _lose_packets(self, step: Step) -> None:
+        self.checks.fault(step.action.value)
+        self.world.lose_packets = 0.05
+        await trio.sleep(step.seconds)
+        self.world.lose_packets = 0.0
+        self._fault_ends(step)
+
+    async def _replace_upstream(self, step: Step) -> None:
+        service = SERVICES[step.target % 2]
+        live = [item for item in self.world.live_upstreams() if item.service == service]
+        leaving = live[step.target % len(live)]
+        self.world.start_upstream(service, step.target)
+        await trio.sleep(1.0)
+        self._clock()
+        if step.action is Action.UPSTREAM_DRAIN:
+            await leaving.drain(3.5)
+            return
+        self.checks.fault(step.action.value)
+        leaving.scope.cancel()
+        self.checks.ended[leaving.name] = self.checks.now
+
+
+def run_seed(seed: int, seconds: float, keep: Path | None) -> list[Finding]:
+    """Run one seed, print its plan and findings, and return these."""
+    folder = Path(tempfile.mkdtemp(prefix="soak-"))
+    soak = Soak(seed, seconds, folder)
+    steps = " ".join(f"{step.at}:{step.action.value}/{step.target}" for step in soak.plan)
+    print(f"seed {seed}: {steps}", flush=True)
+    findings = trio.run(soak.run)
+    counts = {
+        key: soak.checks.counts[key]
+        for key in ("asked", "answered", "faults", "drain-acknowledged")
+    }
+    print(f"seed {seed}: {len(findings)} findings, {counts}", flush=True)
+    for finding in findings[:10]:
+        print(f"seed {seed}: {finding.promise}: {finding.detail}", flush=True)
+    if findings and keep is not None:
+        shutil.copytree(folder, keep / f"seed-{seed}", dirs_exist_ok=True)
+    shutil.rmtree(folder)
+    return findings
+
+
+def main() -> int:
+    """Run the seeds that the options name."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--runs", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--keep", type=Path, help="keep logs of runs with findings here")
+    options = parser.parse_args()
+    run = partial(run_seed, seconds=options.seconds, keep=options.keep)
+    failed = [seed for seed in range(options.seed, options.seed + options.runs) if run(seed)]
+    print(f"{options.runs} runs, failed seeds: {failed or 'none'}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/benchmarks/soak/plan.py
@@ -0,0 +1,80 @@
+"""The plan of one run: what happens when, all from one seed."""
+
+import random
+from dataclasses import dataclass
+from enum import Enum
+
+CONTROL_GAP_SECONDS = 6.0
+"""Between two faults of control instances: one loss at a time is to be borne, with the time that a
+replaced disk needs to catch up."""
+
+
+class Action(Enum):
+    """What can happen."""
+
+    CONTROL_KILL = "control-kill"
+    CONTROL_KILL_ALL = "control-kill-all"
+    CONTROL_FREEZE = "control-freeze"
+    CONTROL_WIPE = "control-wipe"
+    CONTROL_TERM = "control-term"
+    CONTROL_SILENT = "control-silent"
+    CONTROL_RESET = "control-reset"
+    CONTROL_DELAY = "control-delay"
+    CONTROL_ONE_WAY = "control-one-way"
+    CONTROL_DISK_FULL = "control-disk-full"
+    BALANCER_KILL = "balancer-kill"
+    BALANCER_FREEZE = "balancer-freeze"
+    BALANCER_TERM = "balancer-term"
+    SETTINGS_CHANGE = "settings-change"
+    PACKETS_LOST = "packets-lost"
+    UPSTREAM_DRAIN = "upstream-drain"
+    UPSTREAM_CRASH = "upstream-crash"
+    CONFIGURATION = "configuration"
+    CONFIGURATION_RACE = "configuration-race"
+    CONFIGURATION_BAD = "configuration-bad"
+
+
+CONTROL_FAULTS = tuple(action for action in Action if action.value.startswith("control-"))
+OTHER_ACTIONS = tuple(action for action in Action if action not in CONTROL_FAULTS)
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """One action at a time since the start of traffic, on the target with this number."""
+
+    at: float
+    action: Action
+    target: int
+    seconds: float
+
+
+def make_plan(seed: int, seconds: float) -> list[Step]:
+    """Return the plan of a run.
+
+    Parameters
+    ----------
+    seed : int
+        Gives the whole plan.
+    seconds : float
+        How long things happen.
+
+    Returns
+    -------
+    list of Step
+        Steps in order of time; faults of control instances keep their distance, others overlap.
+    """
+    rng = random.Random(seed)
+    steps = []
+    at = 1.0
+    while at < seconds:
+        steps.append(_step(rng, at, rng.choice(CONTROL_FAULTS)))
+        at += CONTROL_GAP_SECONDS + rng.uniform(0.0, 3.0)
+    at = 0.5
+    while at < seconds:
+        steps.append(_step(rng, at, rng.choice(OTHER_ACTIONS)))
+        at += rng.uniform(0.3, 1.5)
+    return sorted(steps, key=lambda step: step.at)
+
+
+def _step(rng: random.Random, at: float, action: Action) -> Step:
+    return Step(round(at, 2), action, rng.randrange(1000), round(rng.uniform(0.5, 3.0), 2))
--- /dev/null
+++ b/benchmarks/standins/platform_client.py
@@ -0,0 +1,158 @@
+"""A stand-in client on the platform: opens flows, keeps them, sends requests one after another."""
+
+import random
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import trio
+
+from benchmarks.standins.platform_packets import (
+    ABORTS,
+    ACKNOWLEDGES,
+    CLOSES,
+    OPENS,
+    Packet,
+    read,
+    write,
+)
+
+COPY_SECONDS = (0.2, 0.4, 0.8)
+"""Pauses after the first opening packet and after each copy; then the client gives up."""
+RESEND_SECONDS = (0.2, 0.4, 0.8, 1.6)
+BUFFER = 512
+
+
+class FlowFailed(Exception):  # noqa: N818 an outcome of a flow, not a mistake
+    """The flow can't go on: reset, or nobody has answered."""
+
+
+@dataclass(slots=True)
+class ClientFlow:
+    """One open flow of a client."""
+
+    port: int
+    sequence: int
+    acknowledged: int
+    cookie: int
+    upstream_reset: bool = False
+
+
+@dataclass(slots=True)
+class StandInClient:
+    """One client with an address of its own.
+
+    Parameters
+    ----------
+    host : str
+        Its address; packets for it arrive at `port` there.
+    send : callable
+        Hands a packet to the fabric, with the client's port, which selects the balancer.
+    note : callable
+        Told of everything that the checks need: kind and values.
+    """
+
+    host: str
+    port: int
+    send: Callable[[bytes, int], None]
+    note: Callable[..., None]
+    rng: random.Random
+    inboxes: dict[int, trio.MemorySendChannel[Packet]] = field(default_factory=dict)
+    next_port: int = 20_000
+
+    async def receive(self) -> None:
+        """Hand packets to the flows that wait for them."""
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as packets:
+            packets.setblocking(False)
+            packets.bind((self.host, self.port))
+            while True:
+                await trio.lowlevel.wait_readable(packets)
+                packet = read(packets.recv(4096))
+                inbox = self.inboxes.get(packet.target[1])
+                if inbox is not None:
+                    try:
+                        inbox.send_nowait(packet)
+                    except trio.WouldBlock:
+                        self.note("client-overrun", host=self.host)
+
+    async def use_flow(self, target: tuple[str, int], requests: int, pause: float) -> None:
+        """Open a flow and send requests over it; every end of it is noted."""
+        port = self.next_port = self.next_port + 1
+        inbox, packets = trio.open_memory_channel[Packet](BUFFER)
+        self.inboxes[port] = inbox
+        try:
+            flow = await self._open(target, port, packets)
+            for _ in range(requests):
+                await self._request(target, flow, packets)
+                await trio.sleep(pause)
+            self._send(target, flow, ACKNOWLEDGES | CLOSES)
+        except FlowFailed as failure:
+            self.note("flow-failed", target=target, reason=str(failure), port=port)
+        finally:
+            del self.inboxes[port]
+
+    async def _open(
+        self, target: tuple[str, int], port: int, packets: trio.MemoryReceiveChannel[Packet]
+    ) -> ClientFlow:
+        start = self.rng.randrange(1, 2**30)
+        for copies, pause in enumerate(COPY_SECONDS):
+            self._write(Packet((self.host, port), target, OPENS, start, copies))
+            with trio.move_on_after(pause):
+                while True:
+                    packet = await packets.receive()
+                    if packet.flags & ABORTS:
+                        raise FlowFailed("reset while opening")
+                    if packet.flags & OPENS:
+                        flow = ClientFlow(port, start + 1, packet.sequence + 1, packet.cookie)
+                        self._send(target, flow, ACKNOWLEDGES)
+                        return flow
+        raise FlowFailed("not opened")
+
+    async def _request(
+        self,
+        target: tuple[str, int],
+        flow: ClientFlow,
+        packets: trio.MemoryReceiveChannel[Packet],
+    ) -> None:
+        name = f"{self.rng.getrandbits(64):016x}"
+        data = f"POST / HTTP/1.1\r\nhost: x\r\nX-Request-Id: {name}\r\n\r\n".encode()
+        self.note("asked", request=name, target=target)
+        for pause in RESEND_SECONDS:
+            self._send(target, flow, ACKNOWLEDGES, data)
+            with trio.move_on_after(pause):
+                while True:
+                    packet = await packets.receive()
+                    flow.cookie = packet.cookie or flow.cookie
+                    if packet.flags & ABORTS:
+                        self.note("reset", request=name, target=target, mark=packet.mark)
+                        raise FlowFailed("reset")
+                    # What was sent again, or is late, begins before what is expected next.
+                    if packet.data and packet.sequence == flow.acknowledged:
+                        self._take_answer(name, target, packet)
+                        flow.sequence += len(data)
+                        flow.acknowledged = packet.sequence + len(packet.data)
+                        return
+        raise FlowFailed("no answer")
+
+    def _take_answer(self, name: str, target: tuple[str, int], packet: Packet) -> None:
+        body = packet.data.partition(b"\r\n\r\n")[2].decode()
+        request, _, service = body.partition(" ")
+        self.note("answered", request=name, target=target, body=request, service=service)
+
+    def _send(
+        self, target: tuple[str, int], flow: ClientFlow, flags: int, data: bytes = b""
+    ) -> None:
+        self._write(
+            Packet(
+                (self.host, flow.port),
+                target,
+                flags,
+                flow.sequence,
+                flow.acknowledged,
+                flow.cookie,
+                data,
+            )
+        )
+
+    def _write(self, packet: Packet) -> None:
+        self.send(write(packet), packet.source[1])
--- /dev/null
+++ b/benchmarks/standins/platform_packets.py
@@ -0,0 +1,66 @@
+"""Packets of the platform as its clients and upstreams write them."""
+
+import struct
+from typing import NamedTuple
+
+from chicorypost.platform._packets import ABORTS, ACKNOWLEDGES, CLOSES, HEAD_BYTES, OPENS
+
+__all__ = ["ABORTS", "ACKNOWLEDGES", "CLOSES", "OPENS", "Packet", "read", "write"]
+
+_HEAD = struct.Struct(">IHIIBBHHIII")
+ENDS_MARK = 1
+"""Sum of packets written by an end of a flow; a reset of the system's own carries 0."""
+
+
+class Packet(NamedTuple):
+    """One packet; hosts are IPv4 addresses as text."""
+
+    source: tuple[str, int]
+    target: tuple[str, int]
+    flags: int
+    sequence: int = 0
+    acknowledged: int = 0
+    cookie: int = 0
+    data: bytes = b""
+    mark: int = ENDS_MARK
+
+
+def write(packet: Packet) -> bytes:
+    """Return the bytes of a packet."""
+    head = _HEAD.pack(
+        packet.mark,
+        len(packet.data),
+        packet.sequence,
+        packet.acknowledged,
+        packet.flags,
+        0,
+        packet.source[1],
+        packet.target[1],
+        _number(packet.target[0]),
+        _number(packet.source[0]),
+        packet.cookie,
+    )
+    return head + packet.data
+
+
+def read(data: bytes) -> Packet:
+    """Return the packet that the bytes hold."""
+    head = _HEAD.unpack_from(data)
+    return Packet(
+        (_text(head[9]), head[6]),
+        (_text(head[8]), head[7]),
+        head[4],
+        head[2],
+        head[3],
+        head[10],
+        data[HEAD_BYTES:],
+        head[0],
+    )
+
+
+def _number(host: str) -> int:
+    return int.from_bytes(bytes(int(part) for part in host.split(".")), "big")
+
+
+def _text(number: int) -> str:
+    return ".".join(str(octet) for octet in number.to_bytes(4, "big"))
--- a/chicorypost/platform/_packets.py
+++ b/chicorypost/platform/_packets.py
@@ -68,11 +68,12 @@
     """Return the id of the request that begins in a packet, or an empty string."""
     if data[HEAD_BYTES : HEAD_BYTES + 4] not in _METHODS:
         return ""
-    start = data.find(_REQUEST_ID, HEAD_BYTES)
+    header = data.find(_REQUEST_ID, HEAD_BYTES)
+    start = header + len(_REQUEST_ID)
     end = data.find(b"\r\n", start)
-    if start < 0 or end < 0:
+    if header < 0 or end < 0:
         return ""
-    return data[start + len(_REQUEST_ID) : end].strip().decode("latin-1")[:MAX_ID_CHARACTERS]
+    return data[start:end].strip().decode("latin-1")[:MAX_ID_CHARACTERS]
 
 
 def name_flow(data: bytes) -> str:
--- a/chicorypost/platform/tests/test_readers.py
+++ b/chicorypost/platform/tests/test_readers.py
@@ -17,12 +17,15 @@
     NodeSettings,
     NodeSettingsMistake,
     make_reset,
+    name_address,
+    name_flow,
     read_announcement,
     read_configuration,
     read_endpoint,
     read_leaving,
     read_node_settings,
     read_packet,
+    read_request_id,
     wrap_packet,
 )
 from chicorypost.platform._announcements import read_token
@@ -115,6 +118,29 @@
     assert wrap_packet(SYN, 0, None) == bytes(8) + SYN
 
 
+REQUEST = b"GET /x HTTP/1.1\r\nHost: a\r\nX-Request-Id: 5f61f0027fba0a8d\r\nAccept: b\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("data", "name"),
+    [
+        (REQUEST, "5f61f0027fba0a8d"),
+        (REQUEST.replace(b"GET", b"POST"), "5f61f0027fba0a8d"),
+        (REQUEST.replace(b"GET", b"\x00\x00\x00"), ""),
+        (REQUEST.replace(b"X-Request-Id", b"X-Other"), ""),
+        (REQUEST[: REQUEST.index(b"0a8d")], ""),
+        (b"", ""),
+    ],
+)
+def test_the_id_of_a_request_is_read_from_its_first_packet(data, name):
+    assert read_request_id(SYN + data) == name
+
+
+def test_flows_and_addresses_are_named_as_people_write_them():
+    assert name_flow(SYN) == "100.64.0.7:40001"
+    assert name_address(SYN) == "198.18.0.1:443"
+
+
 @pytest.mark.parametrize(
     ("data", "fault"),
     [
