--- /dev/null
+++ b/benchmarks/load_model/patterns.py
@@ -0,0 +1,81 @@
+"""Patterns of load and trouble, each a small change to a running model."""
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from benchmarks.load_model.model import Model
+from chicorypost.announcements import Standing
+
+
+@dataclass(frozen=True, slots=True)
+class Pattern:
+    """A pattern and what it stands for."""
+
+    meaning: str
+    apply: Callable[[Model], None]
+
+
+def _calm(model: Model) -> None:
+    return None
+
+
+def _wave(model: Model) -> None:
+    model.rate_factor = lambda now: 1.0 + 0.3 * math.sin(now)
+
+
+def _burst(model: Model) -> None:
+    model.rate_factor = lambda now: 1.7 if 8.0 <= now < 11.0 else 1.0
+
+
+def _crash(model: Model) -> None:
+    model.at(6.0, lambda: model.kill(model.upstreams[1]))
+
+
+def _slow(model: Model) -> None:
+    def slow() -> None:
+        model.upstreams[1].slowness = 5.0
+
+    model.at(6.0, slow)
+
+
+def _zone_cut(model: Model) -> None:
+    def begin() -> None:
+        model.cut = model.places[0]
+
+    def end() -> None:
+        model.cut = None
+
+    model.at(6.0, begin)
+    model.at(12.0, end)
+
+
+def _release(model: Model) -> None:
+    for number in range(3):
+
+        def replace(number: int = number) -> None:
+            model.add_upstream()
+            model.upstreams[number].standing = Standing.DRAINING
+            model.tell_balancers()
+
+        model.at(5.0 + 2.0 * number, replace)
+
+
+def _scale_out(model: Model) -> None:
+    def add() -> None:
+        model.add_upstream()
+
+    for number in range(3):
+        model.at(5.0 + number, add)
+
+
+PATTERNS: dict[str, Pattern] = {
+    "calm": Pattern("nothing happens", _calm),
+    "wave": Pattern("the load swings by 30 %", _wave),
+    "burst": Pattern("1.7 times the load for 3 s", _burst),
+    "crash": Pattern("an upstream ends without a word", _crash),
+    "slow": Pattern("an upstream takes five times as long", _slow),
+    "zone-cut": Pattern("a data centre is cut off for 6 s", _zone_cut),
+    "release": Pattern("upstreams are replaced one after the other", _release),
+    "scale-out": Pattern("empty upstreams are added", _scale_out),
+}
