--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -15,6 +15,8 @@
 LIMIT_SECONDS = 1200
 SMALL: tuple[tuple[str, ...], ...] = (
     ("forwarding", "--flows", "20000", "--packets", "40000", "--rounds", "1"),
+    ("cookie_forwarding", "--flows", "20000", "--packets", "20000", "--rounds", "1"),
+    ("load_model", "--seeds", "1"),
     ("requests_path", "--requests", "300"),
     ("requests_outcomes",),
     ("flows_broken", "--small"),
@@ -27,6 +29,8 @@
 )
 FULL: tuple[tuple[str, ...], ...] = (
     ("forwarding",),
+    ("cookie_forwarding",),
+    ("load_model", "--seeds", "5"),
     ("requests_path", "--requests", "3000"),
     ("requests_outcomes",),
     ("flows_broken",),
