--- /dev/null
+++ b/benchmarks/feed_bytes.py
@@ -0,0 +1,163 @@
+"""Bytes of the feed between control instances and balancers, as the deployment grows.
+
+``python -m benchmarks.feed_bytes`` counts what one balancer and one control instance send and
+receive a second, as frames without the headers of TCP and IP: at rest and during a release.
+"""
+
+import argparse
+
+from benchmarks.reporting import report
+from chicorypost.announcements import (
+    Announced,
+    Announcement,
+    AnnouncementKeeper,
+    AnnouncementSettings,
+    DirectoryView,
+    PeerReached,
+    PeersChanged,
+    Standing,
+)
+from chicorypost.base import (
+    DataCentreId,
+    Endpoint,
+    Event,
+    InstanceId,
+    Instant,
+    Received,
+    Send,
+    ServiceId,
+    Tick,
+    UpstreamId,
+)
+from chicorypost.transport import Heartbeat, HeartbeatReply, encode_frame
+
+SETTINGS = AnnouncementSettings(interval_seconds=1.0)
+STEP_SECONDS = 0.1
+HEARTBEATS_PER_SECOND = 2
+"""As the roles set it; each is answered."""
+REST_SECONDS = 20.0
+RELEASE_SECONDS = 20.0
+
+
+class FeedWorld:
+    """Control instances, upstreams and one balancer whose bytes are counted.
+
+    Parameters
+    ----------
+    controls, balancers, upstreams : int
+        How many there are; balancers other than the counted one only subscribe.
+    """
+
+    def __init__(self, controls: int, balancers: int, upstreams: int) -> None:
+        self.now = Instant(0.0)
+        self.balancers = [InstanceId(f"10.0.{n // 250}.{n % 250}") for n in range(balancers)]
+        self.counted = self.balancers[0]
+        self.controls = [InstanceId(f"10.9.0.{n}:8166") for n in range(controls)]
+        self.keepers = {
+            name: AnnouncementKeeper(SETTINGS, number + 1, self.now)
+            for number, name in enumerate(self.controls)
+        }
+        self.views = {
+            name: DirectoryView(SETTINGS, tuple(self.controls), self.now) for name in self.balancers
+        }
+        self.bytes_of: dict[InstanceId, int] = {}
+        self.upstreams = upstreams
+        self.started = 0
+        self.numbers: dict[int, int] = {}
+        self._connect()
+
+    def _connect(self) -> None:
+        for name in self.controls:
+            others = tuple(other for other in self.controls if other != name)
+            self.tell(name, PeersChanged(others, tuple(self.controls)))
+            for other in others:
+                self.tell(name, PeerReached(other))
+        for balancer in self.balancers:
+            for name in self.controls:
+                self.tell(balancer, PeerReached(name))
+
+    def tell(self, name: InstanceId, event: Event) -> None:
+        """Tell a machine of an event and deliver what it sends, counting the bytes."""
+        machine = self.keepers.get(name) or self.views[name]
+        for effect in list(machine.handle(event, self.now)):
+            if isinstance(effect, Send):
+                size = len(encode_frame(effect.message))
+                for end in (name, effect.to):
+                    self.bytes_of[end] = self.bytes_of.get(end, 0) + size
+                self.tell(effect.to, Received(name, effect.message))
+
+    def announce(self, number: int, standing: Standing = Standing.READY) -> None:
+        """Let an upstream call one control instance."""
+        sequence = self.numbers[number] = self.numbers.get(number, 0) + 1
+        call = Announcement(
+            UpstreamId(f"i-{number:08x}"),
+            1_790_000_000_000 + number,
+            sequence,
+            ServiceId("atelier"),
+            DataCentreId("gent-a"),
+            Endpoint(f"10.128.{number // 250}.{number % 250}", 8080),
+            number + 1,
+            2,
+            standing,
+            0,
+        )
+        control = self.controls[number % len(self.controls)]
+        self.tell(control, Announced("call", call))
+
+    def run(self, seconds: float, replaced: int = 0) -> None:
+        """Let time pass; upstreams call once a second, and some are replaced one by one."""
+        steps = round(seconds / STEP_SECONDS)
+        live = list(range(self.started, self.started + self.upstreams))
+        due = [round((n + 1) * steps / (replaced + 1)) for n in range(replaced)]
+        for step in range(steps):
+            self.now = Instant(self.now + STEP_SECONDS)
+            for name in (*self.controls, *self.balancers):
+                machine = self.keepers.get(name) or self.views[name]
+                deadline = machine.next_deadline()
+                if deadline is not None and deadline <= self.now:
+                    self.tell(name, Tick())
+            for number in live[step % 10 :: 10]:
+                self.announce(number)
+            for _ in range(due.count(step)):
+                fresh = live[-1] + 1
+                self.announce(fresh)
+                self.announce(live[0], Standing.DRAINING)
+                live = [*live[1:], fresh]
+        self.started = live[0]
+
+
+def measure(controls: int, balancers: int, upstreams: int) -> None:
+    """Measure one size and report."""
+    world = FeedWorld(controls, balancers, upstreams)
+    world.run(5.0)
+    beat = len(encode_frame(Heartbeat(1000))) + len(encode_frame(HeartbeatReply(1000)))
+    kept = HEARTBEATS_PER_SECOND * beat
+    rates = {}
+    for phase, replaced in (("rest", 0), ("release", upstreams // 3)):
+        world.bytes_of.clear()
+        seconds = REST_SECONDS if phase == "rest" else RELEASE_SECONDS
+        world.run(seconds, replaced)
+        balancer = world.bytes_of[world.counted] / seconds + kept * controls
+        control = world.bytes_of[world.controls[0]] / seconds + kept * balancers
+        rates[f"{phase}_balancer_bytes_per_second"] = round(balancer)
+        rates[f"{phase}_control_bytes_per_second"] = round(control)
+    report(
+        "feed-bytes",
+        controls=controls,
+        balancers=balancers,
+        upstreams=upstreams,
+        rest_target=1000,
+        release_target=4000,
+        **rates,
+    )
+
+
+def main() -> None:
+    """Measure at 30, 100, 140 and 300 balancers."""
+    argparse.ArgumentParser(description=__doc__).parse_args()
+    for controls, balancers, upstreams in ((3, 30, 16), (6, 100, 54), (6, 140, 75), (6, 300, 160)):
+        measure(controls, balancers, upstreams)
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/soak/checks.py
+++ b/benchmarks/soak/checks.py
@@ -92,6 +92,9 @@
         """Return whether an upstream has ended, so that its flows may be reset."""
         return any(self.now - at < DARK_SECONDS for at in self.ended.values())
 
+    def _check_ended(self, detail: str) -> None:
+        self._find("no end by itself", detail)
+
     def _check_drain_acknowledged(self, upstream: str) -> None:
         self.drained[upstream] = self.now
 
--- a/benchmarks/soak/world.py
+++ b/benchmarks/soak/world.py
@@ -24,6 +24,7 @@
 UPSTREAM_PORT = 8080
 PROBE_SECONDS = 0.5
 MISSES = 2
+SUPERVISE_SECONDS = 0.2
 CALL_SECONDS = 1.0
 BEAT_SECONDS = 0.5
 SERVICES = ("orders", "archive")
@@ -113,6 +114,7 @@
         for number in range(6):
             self.start_upstream(SERVICES[number % 3 // 2], number)
         nursery.start_soon(self._probe_balancers)
+        nursery.start_soon(self._supervise)
         while not await self.put(self.version + 1):
             await trio.sleep(0.2)
 
@@ -155,6 +157,15 @@
         self.rng.shuffle(endpoints)
         return endpoints
 
+    async def _supervise(self) -> None:
+        """Start processes again that have ended by themselves."""
+        while True:
+            await trio.sleep(SUPERVISE_SECONDS)
+            for process in (*self.controls, *self.balancers):
+                end = process.restart_if_ended()
+                if end:
+                    self.checks.note("ended", detail=end)
+
     async def _probe_balancers(self) -> None:
         while True:
             async with trio.open_nursery() as nursery:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -82,6 +82,11 @@
     assert promises(checks) == ["acknowledged stays", "acknowledged stays"]
 
 
+def test_a_process_that_ends_by_itself_is_found(checks):
+    checks.note("ended", detail="balancer-1 ended with 1 after 9.0 s")
+    assert promises(checks) == ["no end by itself"]
+
+
 def test_silence_at_the_end_is_found(checks):
     checks.finish(None, 0)
     assert promises(checks) == ["acknowledged stays", "serves"]
