--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,6 +7,7 @@
 from benchmarks.soak.__main__ import run_seed
 from benchmarks.soak.checks import Checks
 from benchmarks.soak.plan import CONTROL_FAULTS, CONTROL_GAP_SECONDS, make_plan
+from benchmarks.soak.seeds import REGRESSION_SEEDS
 
 ORDERS, ARCHIVE = ("198.18.0.1", 443), ("198.18.0.1", 444)
 
@@ -104,6 +105,12 @@
     assert all(later - former >= CONTROL_GAP_SECONDS for former, later in pairwise(at))
 
 
+@pytest.mark.xdist_group("control-processes")
+@pytest.mark.parametrize("item", REGRESSION_SEEDS, ids=lambda item: item.seed)
+def test_a_seed_that_failed_once_breaks_no_promise(item):
+    assert run_seed(item.seed, item.seconds, None) == []
+
+
 @pytest.mark.xdist_group("control-processes")
 def test_a_short_run_of_the_real_programs_breaks_no_promise():
     assert run_seed(1, 4.0, None) == []
