--- a/chicorypost/base/_message.py
+++ b/chicorypost/base/_message.py
@@ -21,7 +21,7 @@
 
     Each subclass passes ``tag=<int>`` in its class statement. The tag identifies the type on the
     wire and is unique: consensus 100-199, configuration 200-299, membership 300-399, flows
-    400-499, upstreams 500-599, requests 600-699, transport 700-799.
+    400-499, upstreams 500-599, requests 600-699, transport 700-799, announcements 800-899.
     """
 
 
