Remove a set that nothing used and a copied tuple from the control role

Cause: the last reading of the whole change: ControlRole.balancers was never read or filled, and host_events copied HOST_EVENTS element by element. Change: the two removals; behaviour stays as it is.

--- a/chicorypost/roles/_control.py
+++ b/chicorypost/roles/_control.py
@@ -110,7 +110,6 @@
         feed = random.getrandbits(48) + 1
         self.keeper = AnnouncementKeeper(announcements, feed, self.engine.now())
         self.known_peers: tuple[InstanceId, ...] = ()
-        self.balancers: set[InstanceId] = set()
         self._add_parts()
         port = settings.peer_port
         self.network = make_network(settings, self.instance, port, self.engine, journal)
@@ -118,8 +117,7 @@
         self.server = self._make_server()
 
     def _add_parts(self) -> None:
-        host_events = tuple(event for event in HOST_EVENTS)
-        log = Part("log", self.host, messages_in(CONSENSUS_TAGS), host_events)
+        log = Part("log", self.host, messages_in(CONSENSUS_TAGS), HOST_EVENTS)
         self.engine.add(log)
         told = (Announced, PeersChanged, PeerReached, PeerGone, VersionApplied, TableRestored)
         messages = messages_in(ANNOUNCEMENT_TAGS)
