Forward packets while the rest of a balancer is still being imported

Change: what decides and forwards needs neither trio nor logging. It is imported first (45 ms), fetches upstreams and configuration from the seeds over plain sockets, and is called before each further import; packets that come before the configuration wait in the socket. The core then goes on under trio, on the same clock.

--- a/benchmarks/configuration_force.py
+++ b/benchmarks/configuration_force.py
@@ -38,7 +38,7 @@
     ConfigurationFollower,
     DistributionSettings,
 )
-from chicorypost.daemons._engine import Engine, Part
+from chicorypost.daemons import Engine, Part
 from chicorypost.daemons.tests.control_processes import ControlProcesses
 from chicorypost.transport import (
     ExchangeAnswer,
--- a/benchmarks/cookie_forwarding.py
+++ b/benchmarks/cookie_forwarding.py
@@ -40,8 +40,10 @@
 from chicorypost.cookies import make_cookie
 from chicorypost.platform import NodeSettings
 from chicorypost.platform._packets import ACKNOWLEDGES, HEAD_BYTES, make_address
-from chicorypost.roles._balancer import BATCH_PACKETS, BalancerRole
-from chicorypost.roles._process import Journal
+from chicorypost.roles._balancer import BalancerRole
+from chicorypost.roles._balancer_core import BalancerCore
+from chicorypost.roles._forwarding import BATCH_PACKETS
+from chicorypost.roles._journal import Journal
 from chicorypost.routing import (
     Retryability,
     Route,
@@ -78,7 +80,8 @@
         lost_disks=1,
         stop_seconds=1.0,
     )
-    role = BalancerRole(settings, Journal(lambda _: None))
+    journal = Journal(lambda _, __: None)
+    role = BalancerRole(BalancerCore(settings, journal), journal)
     address = make_address(VIRTUAL_HOST, VIRTUAL_PORT)
     shares = (WeightedService(SERVICE, 1),)
     route = Route("r", address, shares, Retryability.IDEMPOTENT, 1000, 100, 1)
@@ -127,12 +130,12 @@
 
     def __init__(self, role: BalancerRole) -> None:
         self.role = role
-        self.socket = role.socket
+        self.socket = role.core.socket
 
     def forward_batch(self) -> None:
         """Forward one batch."""
         for _ in range(BATCH // BATCH_PACKETS):
-            self.role._forward_batch()
+            self.role.core.forward_batch(self.role.engine)
 
 
 async def run(options: argparse.Namespace) -> None:
--- a/chicorypost/daemons/__init__.py
+++ b/chicorypost/daemons/__init__.py
@@ -11,7 +11,8 @@
     from chicorypost.daemons._balancer import BalancerDaemon, run_balancer
     from chicorypost.daemons._control import run_control
     from chicorypost.daemons._control_settings import ControlSettings
-    from chicorypost.daemons._engine import Engine, Part
+    from chicorypost.daemons._dispatch import Dispatcher, Part, messages_in
+    from chicorypost.daemons._engine import Engine
     from chicorypost.daemons._packets import PacketForwarder
     from chicorypost.daemons._settings import (
         BalancerSettings,
@@ -26,6 +27,7 @@
     "BalancerDaemon",
     "BalancerSettings",
     "ControlSettings",
+    "Dispatcher",
     "Engine",
     "PacketForwarder",
     "Part",
@@ -33,6 +35,7 @@
     "SettingsMistake",
     "check_settings",
     "load_settings",
+    "messages_in",
     "parse_endpoint",
     "run_balancer",
     "run_control",
@@ -44,13 +47,15 @@
         "BalancerDaemon": "_balancer",
         "BalancerSettings": "_settings",
         "ControlSettings": "_control_settings",
+        "Dispatcher": "_dispatch",
         "Engine": "_engine",
         "PacketForwarder": "_packets",
-        "Part": "_engine",
+        "Part": "_dispatch",
         "ProcessSettings": "_settings",
         "SettingsMistake": "_settings",
         "check_settings": "_settings",
         "load_settings": "_settings",
+        "messages_in": "_dispatch",
         "parse_endpoint": "_settings",
         "run_balancer": "_balancer",
         "run_control": "_control",
--- a/chicorypost/daemons/_balancer_parts.py
+++ b/chicorypost/daemons/_balancer_parts.py
@@ -15,7 +15,8 @@
     WallTime,
 )
 from chicorypost.configuration import ConfigurationApplied, ConfigurationFollower, GatedMembership
-from chicorypost.daemons._engine import Engine, Part, messages_in
+from chicorypost.daemons._dispatch import Part, messages_in
+from chicorypost.daemons._engine import Engine
 from chicorypost.daemons._packets import FLOWS_PART
 from chicorypost.daemons._settings import BalancerSettings, InstanceAddress, parse_endpoint
 from chicorypost.flows import FlowRouter, ReachableChanged
--- a/chicorypost/daemons/_control.py
+++ b/chicorypost/daemons/_control.py
@@ -31,7 +31,8 @@
 from chicorypost.daemons._control_api import OperatorEndpoint
 from chicorypost.daemons._control_log import ControlLog, LeadingReplica
 from chicorypost.daemons._control_settings import ControlSettings
-from chicorypost.daemons._engine import Engine, Part, messages_in
+from chicorypost.daemons._dispatch import Part, messages_in
+from chicorypost.daemons._engine import Engine
 from chicorypost.daemons._events import STARTED, STOPPED
 from chicorypost.daemons._listeners import endpoint_of, open_listener
 from chicorypost.daemons._settings import parse_endpoint
--- a/chicorypost/daemons/_engine.py
+++ b/chicorypost/daemons/_engine.py
@@ -1,79 +1,25 @@
-"""Feeds events to state machines and carries out their effects, on one loop."""
+"""Runs the state machines of one process on trio's loop."""
 
-from collections import deque
 from collections.abc import Callable
-from typing import Any
 
-import msgspec
 import trio
 
-from chicorypost.base import (
-    Effect,
-    Event,
-    InstanceId,
-    Instant,
-    Message,
-    Received,
-    Send,
-    StateMachine,
-    Tick,
-    message_types,
-)
+from chicorypost.base import Effect, InstanceId, Instant, Message
+from chicorypost.daemons._dispatch import Dispatcher
 from chicorypost.events import Emit
 
 WAKE_SLACK_SECONDS = 0.001
 
 
-class Part(msgspec.Struct, frozen=True):
-    """One state machine and what it is told.
+class Engine(Dispatcher):
+    """A dispatcher that wakes up at the earliest deadline of its machines.
 
     Parameters
     ----------
-    name : str
-        Key of its state in the dump.
-    machine : StateMachine
-        The machine.
-    messages : tuple of message types
-        Received messages that it takes.
-    events : tuple of event types
-        Other events that it takes.
-    """
-
-    name: str
-    machine: StateMachine
-    messages: tuple[type[Message], ...] = ()
-    events: tuple[type[Event], ...] = ()
-
-    def takes(self, event: Event) -> bool:
-        """Return whether the machine is to be told of the event."""
-        if isinstance(event, Received):
-            return isinstance(event.message, self.messages)
-        return isinstance(event, self.events)
-
-
-def messages_in(tags: range) -> tuple[type[Message], ...]:
-    """Return the message types whose tag lies in a range."""
-    return tuple(cls for cls in message_types() if cls.__struct_config__.tag in tags)
-
-
-class Engine:
-    """Runs the state machines of one process.
-
-    Parameters
-    ----------
-    send : callable
-        Sends a message to an instance.
-    emit : callable
-        Logs and counts an event.
-    execute : callable
-        Carries out every other effect, such as a response to a caller.
+    send, emit, execute : callable
+        As for `Dispatcher`.
     clock : callable, default trio.current_time
         The monotonic clock.
-
-    Notes
-    -----
-    The clock is read again for each event, so that a process that was frozen between two events
-    decides the second one with its lease known to be over.
     """
 
     def __init__(
@@ -83,88 +29,23 @@
         execute: Callable[[Effect], None],
         clock: Callable[[], float] = trio.current_time,
     ) -> None:
-        self.send = send
-        self.emit = emit
-        self.execute = execute
-        self.clock = clock
-        self.parts: list[Part] = []
-        self.deadlines: dict[str, Instant | None] = {}
-        self.queue: deque[Event] = deque()
-        self.is_running = False
+        super().__init__(send, emit, execute, clock)
         self.wake_at: Instant | None = None
         self.wake = trio.Event()
 
-    def now(self) -> Instant:
-        """Return the current time."""
-        return Instant(self.clock())
-
-    def add(self, part: Part) -> None:
-        """Add a state machine; events are given to machines in the order of adding."""
-        self.parts.append(part)
-        self.deadlines[part.name] = part.machine.next_deadline()
-
-    def post(self, event: Event) -> None:
-        """Tell the machines of an event and carry out what follows from it."""
-        self.queue.append(event)
-        self._drain()
-
-    def receive(self, sender: InstanceId, message: Message) -> None:
-        """Take a message from another instance."""
-        self.post(Received(sender, message))
-
-    def carry_out(self, effects: list[Effect]) -> None:
-        """Carry out effects, and what follows from them."""
-        for effect in effects:
-            self._carry_out_one(effect)
-        self._drain()
-
-    def _drain(self) -> None:
-        if self.is_running:
-            return
-        self.is_running = True
-        try:
-            while self.queue:
-                self._deliver(self.queue.popleft())
-        finally:
-            self.is_running = False
-        self._wake_at_earliest()
-
-    def _deliver(self, event: Event) -> None:
-        for part in self.parts:
-            if part.takes(event):
-                self._tell(part, event)
-
-    def _tell(self, part: Part, event: Event) -> None:
-        effects = part.machine.handle(event, self.now())
-        # Only a machine that was told something can want another time.
-        self.deadlines[part.name] = part.machine.next_deadline()
-        self.carry_out(effects)
-
-    def _carry_out_one(self, effect: Effect) -> None:
-        match effect:
-            case Send(to=to, message=message):
-                self.send(to, message)
-            case Emit():
-                self.emit(effect)
-            case Event():
-                self.queue.append(effect)
-                self.execute(effect)
-            case _:
-                self.execute(effect)
-
     def reschedule(self) -> None:
         """Look at all deadlines again, after a machine was used in another way than by events."""
         for part in self.parts:
             self.deadlines[part.name] = part.machine.next_deadline()
-        self._wake_at_earliest()
+        self._note_deadlines()
 
     def refresh(self, name: str) -> None:
         """Look at the deadline of one part again, after it was used without an event."""
         machine = next(part.machine for part in self.parts if part.name == name)
         self.deadlines[name] = machine.next_deadline()
-        self._wake_at_earliest()
+        self._note_deadlines()
 
-    def _wake_at_earliest(self) -> None:
+    def _note_deadlines(self) -> None:
         known = (deadline for deadline in self.deadlines.values() if deadline is not None)
         earliest = min(known, default=None)
         is_earlier = earliest is not None and (self.wake_at is None or earliest < self.wake_at)
@@ -186,15 +67,3 @@
                 self.tick()
                 # A machine that asks for a past deadline again must not starve the loop.
                 await trio.sleep(WAKE_SLACK_SECONDS)
-
-    def tick(self) -> None:
-        """Tell every machine whose deadline has come that time has passed."""
-        for part in self.parts:
-            deadline = self.deadlines[part.name]
-            if deadline is not None and deadline <= self.now():
-                self._tell(part, Tick())
-        self._drain()
-
-    def dump(self) -> dict[str, Any]:
-        """Return the decision state of every machine."""
-        return {part.name: part.machine.dump() for part in self.parts}
--- a/chicorypost/daemons/tests/test_control_log.py
+++ b/chicorypost/daemons/tests/test_control_log.py
@@ -18,7 +18,8 @@
 )
 from chicorypost.consensus._files import DiskFileSystem
 from chicorypost.daemons._control_log import ControlLog, LeadingReplica
-from chicorypost.daemons._engine import Engine, Part
+from chicorypost.daemons._dispatch import Part
+from chicorypost.daemons._engine import Engine
 
 PATCHES = 1_000
 BATCH = 100
--- a/chicorypost/events/__init__.py
+++ b/chicorypost/events/__init__.py
@@ -1,5 +1,8 @@
 """Numbered log events and their catalogue."""
 
+from typing import TYPE_CHECKING
+
+from chicorypost.base._lazy import import_lazily
 from chicorypost.events._catalogue import (
     Emit,
     EventSpec,
@@ -8,8 +11,10 @@
     define_event,
     event_catalogue,
 )
-from chicorypost.events._limit import LineLimiter, LogBudget, NonBlockingOutput
-from chicorypost.events._logging import configure_logging, log_event
+
+if TYPE_CHECKING:
+    from chicorypost.events._limit import LineLimiter, LogBudget, NonBlockingOutput
+    from chicorypost.events._logging import configure_logging, log_event
 
 __all__ = [
     "Emit",
@@ -24,3 +29,14 @@
     "event_catalogue",
     "log_event",
 ]
+
+__getattr__ = import_lazily(
+    __name__,
+    {
+        "LineLimiter": "_limit",
+        "LogBudget": "_limit",
+        "NonBlockingOutput": "_limit",
+        "configure_logging": "_logging",
+        "log_event": "_logging",
+    },
+)
--- a/chicorypost/events/_logging.py
+++ b/chicorypost/events/_logging.py
@@ -9,6 +9,7 @@
 from chicorypost.events._catalogue import Emit, Level
 
 LOGGER_NAME = "chicorypost"
+MILLISECONDS = 1000.0
 
 
 class Output(Protocol):
@@ -55,12 +56,27 @@
     logger.setLevel(_LEVELS[level])
 
 
-def log_event(emit: Emit) -> None:
-    """Write one event."""
+def log_event(emit: Emit, at: float | None = None) -> None:
+    """Write one event.
+
+    Parameters
+    ----------
+    emit : Emit
+        The event.
+    at : float, optional
+        When it occurred, in seconds of the time of day; now if not given.
+    """
     extra = {"number": emit.spec.number, **emit.fields}
     # The standard library reserves some attribute names of a log record.
     safe = {f"{key}_" if key in _RESERVED else key: value for key, value in extra.items()}
-    logging.getLogger(LOGGER_NAME).log(_LEVELS[emit.spec.level], emit.spec.name, extra=safe)
+    logger, level = logging.getLogger(LOGGER_NAME), _LEVELS[emit.spec.level]
+    if not logger.isEnabledFor(level):
+        return
+    record = logger.makeRecord(logger.name, level, "", 0, emit.spec.name, (), None, extra=safe)
+    if at is not None:
+        record.created = at
+        record.msecs = at % 1.0 * MILLISECONDS
+    logger.handle(record)
 
 
 _RESERVED = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime"}
--- a/chicorypost/platform/__init__.py
+++ b/chicorypost/platform/__init__.py
@@ -40,6 +40,7 @@
         SETTINGS_VARIABLE,
         NodeSettings,
         NodeSettingsMistake,
+        load_node_settings,
         read_endpoint,
         read_node_settings,
     )
@@ -60,6 +61,7 @@
     "answer_mistake",
     "answer_unavailable",
     "answer_unknown",
+    "load_node_settings",
     "make_reset",
     "name_address",
     "name_flow",
@@ -92,6 +94,7 @@
         "answer_mistake": "_calls",
         "answer_unavailable": "_calls",
         "answer_unknown": "_calls",
+        "load_node_settings": "_settings",
         "make_reset": "_packets",
         "name_address": "_packets",
         "name_flow": "_packets",
--- a/chicorypost/platform/_settings.py
+++ b/chicorypost/platform/_settings.py
@@ -1,5 +1,7 @@
 """The settings file that the platform writes for each process."""
 
+import os
+
 import msgspec
 
 from chicorypost.base import DataCentreId, Endpoint, InstanceId
@@ -92,6 +94,18 @@
     detail: str
 
 
+def load_node_settings() -> NodeSettings | NodeSettingsMistake:
+    """Read the settings file that the environment names, as `read_node_settings` does."""
+    path = os.environ.get(SETTINGS_VARIABLE)
+    if path is None:
+        return NodeSettingsMistake(f"the variable {SETTINGS_VARIABLE} isn't set")
+    try:
+        with open(path, "rb") as file:
+            return read_node_settings(file.read())
+    except OSError as error:
+        return NodeSettingsMistake(str(error))
+
+
 def read_node_settings(data: bytes) -> NodeSettings | NodeSettingsMistake:
     """Read the settings of a process.
 
--- a/chicorypost/roles/_balancer.py
+++ b/chicorypost/roles/_balancer.py
@@ -1,51 +1,28 @@
-"""The balancer role: packets in and out, readiness, and the feeds of the control instances."""
+"""The balancer role: the core on trio's loop, readiness, and the feeds of control instances."""
 
 from functools import partial
-from random import Random
 from typing import TYPE_CHECKING, Any
 
 import trio
 
 from chicorypost import __version__
-from chicorypost.announcements import (
-    AnnouncementSettings,
-    ControlsChanged,
-    DirectoryView,
-    PeerGone,
-    PeerReached,
-    RoutingApplied,
-    SeedsChanged,
-    UpstreamsSeen,
-)
+from chicorypost.announcements import ControlsChanged, RoutingApplied, SeedsChanged
 from chicorypost.base import Effect, Event, InstanceId, Message
-from chicorypost.cookies import CookieRouter, CookieSettings, ForwardTo, ResetFlow
-from chicorypost.daemons import Engine, Part
-from chicorypost.daemons._engine import messages_in
+from chicorypost.daemons import Engine
 from chicorypost.daemons._events import STARTED
 from chicorypost.daemons._stop import StopControl
 from chicorypost.metrics import PlainMetrics
-from chicorypost.platform import (
-    BadPacket,
-    NodeSettings,
-    make_reset,
-    read_packet,
-    wrap_packet,
-)
+from chicorypost.platform import NodeSettings
 from chicorypost.roles._admin import serve_admin
-from chicorypost.roles._events import PACKET_SOCKET_FAILED, READY, ROUTING_APPLIED
-from chicorypost.roles._flow_log import FlowLog
-from chicorypost.roles._process import Journal, make_network
+from chicorypost.roles._balancer_core import BalancerCore
+from chicorypost.roles._events import READY, ROUTING_APPLIED
+from chicorypost.roles._journal import Journal
+from chicorypost.roles._process import make_network
 from chicorypost.roles._settings_file import watch_settings
-from chicorypost.transport import NOT_LISTENING, open_packet_socket
 
 if TYPE_CHECKING:
     from chicorypost.transport import HttpServerRequest, HttpServerResponse
 
-FEED_TAGS = range(811, 900)
-DATAGRAM_BYTES = 2048
-"""Room for a packet with the largest data, and for one that is too long to be one."""
-BATCH_PACKETS = 32
-SOCKET_BUFFER_BYTES = 512 * 1024
 READY_LOOK_SECONDS = 0.02
 """How often a balancer that isn't ready yet looks whether it is."""
 LEAVE_SECONDS = 2.5
@@ -58,32 +35,24 @@
 
     Parameters
     ----------
-    settings : NodeSettings
-        Settings of this process.
+    core : BalancerCore
+        Its state machines and packet socket.
     journal : Journal
         Takes log events.
     """
 
-    def __init__(self, settings: NodeSettings, journal: Journal) -> None:
-        assert settings.packets is not None and settings.readiness is not None
-        self.settings = settings
+    def __init__(self, core: BalancerCore, journal: Journal) -> None:
+        assert core.settings.readiness is not None
+        self.core = core
+        self.settings = core.settings
         self.journal = journal
         self.engine = Engine(self._send, journal.emit, self._execute)
+        core.add_to(self.engine)
         self.stop = StopControl(LEAVE_SECONDS + 1.0, journal.emit)
-        now, random = self.engine.now(), Random()
-        announcements = AnnouncementSettings(interval_seconds=settings.announcement_seconds)
-        self.view = DirectoryView(announcements, settings.seeds, now)
-        self.router = CookieRouter(CookieSettings(), settings.data_centre, random, now)
-        self.engine.add(
-            Part("view", self.view, messages_in(FEED_TAGS), (PeerReached, PeerGone, SeedsChanged))
-        )
-        self.engine.add(Part("flows", self.router, (), (RoutingApplied, UpstreamsSeen)))
-        self.flow_log = FlowLog(self.router, journal.emit)
-        self.client_port = settings.packets.port
-        self.socket = open_packet_socket(settings.packets, SOCKET_BUFFER_BYTES)
+        self.view = core.view
+        self.router = core.router
         self.was_ready = False
-        instance = InstanceId(settings.host)
-        self.network = make_network(settings, instance, NOT_LISTENING, self.engine, journal)
+        self.network = make_network(core.settings, core.hello, self.engine, journal)
 
     def _send(self, to: InstanceId, message: Message) -> None:
         self.network.send(to, message)
@@ -113,9 +82,7 @@
         """Return why the fabric shouldn't send packets here, or an empty string."""
         if self.stop.is_stopping:
             return "stopping"
-        if self.view.document is None:
-            return "no configuration yet"
-        return "" if self.view.has_directory else "no upstreams known yet"
+        return self.core.lacks()
 
     async def _answer(self, request: "HttpServerRequest") -> "HttpServerResponse":
         from chicorypost.platform import (
@@ -148,6 +115,7 @@
             watch = partial(watch_settings, settings, self._change_settings, self.journal.emit)
             nursery.start_soon(watch)
             self.journal.emit(STARTED.emit(role="balancer", version=__version__))
+            self._follow_controls(self.view.controls)
             self.engine.post(SeedsChanged(settings.seeds))
             self.engine.reschedule()
             nursery.start_soon(self.engine.run_timer)
@@ -200,48 +168,11 @@
 
     async def _forward_packets(self) -> None:
         while True:
-            await trio.lowlevel.wait_readable(self.socket)
-            self._forward_batch()
+            await trio.lowlevel.wait_readable(self.core.socket)
+            self.core.forward_batch(self.engine)
             await trio.lowlevel.checkpoint()
 
-    def _forward_batch(self) -> None:
-        """Read and forward the packets that wait, up to a bound, without awaiting each."""
-        now = self.engine.now()
-        for _ in range(BATCH_PACKETS):
-            try:
-                data = self.socket.recv(DATAGRAM_BYTES)
-            except BlockingIOError:
-                break
-            except OSError as error:
-                self.journal.emit(PACKET_SOCKET_FAILED.emit(reason=str(error)))
-                break
-            packet = read_packet(data)
-            if isinstance(packet, BadPacket):
-                self.router.counters[f"refused-{packet.value}"] += 1
-                continue
-            decision = self.router.route(packet, now)
-            # Nearly all packets take this branch, so it is tested before the other.
-            if type(decision) is ForwardTo:
-                datagram = wrap_packet(data, decision.token, decision.cookie)
-                self._send_datagram(datagram, decision.address)
-            elif type(decision) is ResetFlow:
-                host, reset = make_reset(data)
-                self._send_datagram(reset, (host, self.client_port))
-            if packet.data_bytes or packet.opens or type(decision) is not ForwardTo:
-                self.flow_log.note(packet, data, decision)
-        if self.router.effects:
-            self.engine.carry_out(self.router.take_effects())
-
-    def _send_datagram(self, data: bytes, address: tuple[str, int]) -> None:
-        """Send a datagram; a full socket buffer loses it, as a network may."""
-        try:
-            self.socket.sendto(data, address)
-        except BlockingIOError:
-            self.router.counters["lost-socket-full"] += 1
-        except OSError as error:
-            self.journal.emit(PACKET_SOCKET_FAILED.emit(reason=str(error)))
-
-
-async def run_balancer(settings: NodeSettings, journal: Journal) -> None:
+
+async def run_balancer(core: BalancerCore, journal: Journal) -> None:
     """Run the balancer role until a stop."""
-    await BalancerRole(settings, journal).run()
+    await BalancerRole(core, journal).run()
--- /dev/null
+++ b/chicorypost/roles/_balancer_core.py
@@ -0,0 +1,71 @@
+"""What a balancer decides with and forwards by; knows no loop, so that it can serve early."""
+
+import time
+from random import Random
+
+from chicorypost.announcements import (
+    AnnouncementSettings,
+    DirectoryView,
+    PeerGone,
+    PeerReached,
+    RoutingApplied,
+    SeedsChanged,
+    UpstreamsSeen,
+)
+from chicorypost.base import Endpoint, Incarnation, InstanceId, Instant
+from chicorypost.cookies import CookieRouter, CookieSettings
+from chicorypost.daemons import Dispatcher, Part, messages_in
+from chicorypost.platform import NodeSettings
+from chicorypost.roles._forwarding import Forwarder
+from chicorypost.roles._journal import Journal
+from chicorypost.transport import NOT_LISTENING, Hello, open_packet_socket
+
+FEED_TAGS = range(811, 900)
+SOCKET_BUFFER_BYTES = 512 * 1024
+
+
+class BalancerCore:
+    """The state machines of one balancer and its packet socket.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        Settings of this process.
+    journal : Journal
+        Takes log events.
+    """
+
+    def __init__(self, settings: NodeSettings, journal: Journal) -> None:
+        assert settings.packets is not None
+        self.settings = settings
+        self.journal = journal
+        now = Instant(time.monotonic())
+        announcements = AnnouncementSettings(interval_seconds=settings.announcement_seconds)
+        self.view = DirectoryView(announcements, settings.seeds, now)
+        self.router = CookieRouter(CookieSettings(), settings.data_centre, Random(), now)
+        self.socket = open_packet_socket(settings.packets, SOCKET_BUFFER_BYTES)
+        self.forwarder = Forwarder(self.router, self.socket, settings.packets.port, journal)
+        self.hello = Hello(
+            InstanceId(settings.host),
+            Incarnation(time.time_ns() // 1_000_000),
+            settings.data_centre,
+            Endpoint(settings.host, NOT_LISTENING),
+        )
+
+    def add_to(self, dispatcher: Dispatcher) -> None:
+        """Let a dispatcher run the machines."""
+        told = (PeerReached, PeerGone, SeedsChanged)
+        dispatcher.add(Part("view", self.view, messages_in(FEED_TAGS), told))
+        dispatcher.add(Part("flows", self.router, (), (RoutingApplied, UpstreamsSeen)))
+
+    def forward_batch(self, dispatcher: Dispatcher) -> None:
+        """Forward the packets that wait, and log what the router has learned from them."""
+        self.forwarder.forward_batch(dispatcher.now())
+        if self.router.effects:
+            dispatcher.carry_out(self.router.take_effects())
+
+    def lacks(self) -> str:
+        """Return what is missing to serve, or an empty string."""
+        if self.view.document is None:
+            return "no configuration yet"
+        return "" if self.view.has_directory else "no upstreams known yet"
--- a/chicorypost/roles/_control.py
+++ b/chicorypost/roles/_control.py
@@ -1,5 +1,6 @@
 """The control role: replicated configuration, calls of upstreams and operators, feed."""
 
+import time
 from functools import partial
 from pathlib import Path
 from random import Random
@@ -21,7 +22,7 @@
     TableRestored,
     VersionApplied,
 )
-from chicorypost.base import Effect, Event, InstanceId, Message
+from chicorypost.base import Effect, Endpoint, Event, Incarnation, InstanceId, Message
 from chicorypost.consensus import (
     Apply,
     ChangeMembership,
@@ -38,8 +39,7 @@
     StewardSettings,
     TakeSnapshot,
 )
-from chicorypost.daemons import Engine, Part
-from chicorypost.daemons._engine import messages_in
+from chicorypost.daemons import Engine, Part, messages_in
 from chicorypost.daemons._events import STARTED
 from chicorypost.daemons._stop import StopControl
 from chicorypost.metrics import PlainMetrics
@@ -47,16 +47,14 @@
 from chicorypost.roles._admin import serve_admin
 from chicorypost.roles._control_calls import ControlCalls
 from chicorypost.roles._events import MEMBERSHIP_REPAIR, ROUTING_APPLIED
-from chicorypost.roles._process import Journal, make_network
+from chicorypost.roles._journal import Journal
+from chicorypost.roles._process import make_network
 from chicorypost.roles._replica_host import HOST_EVENTS, DiskWriter, ReplicaHost
 from chicorypost.roles._settings_file import watch_settings
 from chicorypost.roles._table_file import TableFile
 from chicorypost.roles._waiters import Waiters
 from chicorypost.routing import RoutingState
-from chicorypost.transport import (
-    HttpServer,
-    HttpSettings,
-)
+from chicorypost.transport import Hello, HttpServer, HttpSettings
 
 CONSENSUS_TAGS = range(100, 200)
 ANNOUNCEMENT_TAGS = range(800, 900)
@@ -111,8 +109,13 @@
         self.keeper = AnnouncementKeeper(announcements, feed, self.engine.now())
         self.known_peers: tuple[InstanceId, ...] = ()
         self._add_parts()
-        port = settings.peer_port
-        self.network = make_network(settings, self.instance, port, self.engine, journal)
+        hello = Hello(
+            self.instance,
+            Incarnation(time.time_ns() // 1_000_000),
+            settings.data_centre,
+            Endpoint(settings.host, settings.peer_port),
+        )
+        self.network = make_network(settings, hello, self.engine, journal)
         self.calls = ControlCalls(self.instance, self.host, self.state, self.waiters, journal)
         self.server = self._make_server()
 
--- a/chicorypost/roles/_control_calls.py
+++ b/chicorypost/roles/_control_calls.py
@@ -34,7 +34,7 @@
     CONFIGURATION_ACCEPTED,
     CONFIGURATION_REFUSED,
 )
-from chicorypost.roles._process import Journal
+from chicorypost.roles._journal import Journal
 from chicorypost.roles._replica_host import ReplicaHost
 from chicorypost.roles._waiters import Waiters
 from chicorypost.routing import RoutingMistake, RoutingState, make_command
--- a/chicorypost/roles/_process.py
+++ b/chicorypost/roles/_process.py
@@ -1,14 +1,12 @@
-"""What both roles share: logs and the settings of connections between processes."""
+"""The settings of connections between processes."""
 
-import time
-from collections.abc import Callable
 from functools import partial
 
 from chicorypost.announcements import PeerGone, PeerReached
-from chicorypost.base import Endpoint, Incarnation, InstanceId
+from chicorypost.base import Endpoint, InstanceId
 from chicorypost.daemons import Engine
-from chicorypost.events import Emit, EventSpec, LineLimiter, LogBudget, log_event
 from chicorypost.platform import NodeSettings, read_endpoint
+from chicorypost.roles._journal import Journal
 from chicorypost.transport import Hello, PeerNetwork, TlsContexts, TlsSettings, TransportSettings
 
 HEARTBEAT_SECONDS = 0.5
@@ -20,43 +18,8 @@
 REDIAL_SECONDS = 0.2
 
 
-class Journal:
-    """Counts log events and writes them within the budget.
-
-    Parameters
-    ----------
-    write : callable, optional
-        Writes one event.
-    clock : callable, optional
-        A steady clock in seconds.
-    """
-
-    def __init__(
-        self,
-        write: Callable[[Emit], None] = log_event,
-        clock: Callable[[], float] = time.monotonic,
-    ) -> None:
-        self.write = write
-        self.clock = clock
-        self.limiter = LineLimiter(LogBudget(), clock())
-        self.counts: dict[EventSpec, int] = {}
-
-    def counts_by_name(self) -> dict[str, int]:
-        """Return how often each event has occurred, by its name."""
-        return {spec.name: count for spec, count in self.counts.items()}
-
-    def emit(self, event: Emit) -> None:
-        """Count an event, and write it if the budget allows."""
-        self.counts[event.spec] = self.counts.get(event.spec, 0) + 1
-        now = self.clock()
-        for report in self.limiter.report(now):
-            self.write(report)
-        if self.limiter.allow(event.spec.name, now):
-            self.write(event)
-
-
 def make_network(
-    settings: NodeSettings, instance: InstanceId, port: int, engine: Engine, journal: Journal
+    settings: NodeSettings, hello: Hello, engine: Engine, journal: Journal
 ) -> PeerNetwork:
     """Return the connections of a role, which tell its machines when they open and end.
 
@@ -64,16 +27,13 @@
     ----------
     settings : NodeSettings
         Settings of this process.
-    instance : InstanceId
-        This process.
-    port : int
-        Where it takes connections of peers, or `NOT_LISTENING`.
+    hello : Hello
+        What this process says of itself.
     engine : Engine
         Runs its machines.
     journal : Journal
         Takes log events.
     """
-    incarnation = Incarnation(time.time_ns() // 1_000_000)
     return PeerNetwork(
         TransportSettings(
             heartbeat_seconds=HEARTBEAT_SECONDS,
@@ -81,7 +41,7 @@
             dial_seconds=DIAL_SECONDS,
             redial_seconds=REDIAL_SECONDS,
         ),
-        Hello(instance, incarnation, settings.data_centre, Endpoint(settings.host, port)),
+        hello,
         TlsContexts(TlsSettings(off=True), journal.emit),
         engine.receive,
         journal.emit,
--- a/chicorypost/roles/_settings_file.py
+++ b/chicorypost/roles/_settings_file.py
@@ -1,36 +1,18 @@
-"""The settings file of a role, read at start and whenever it has changed."""
+"""The settings file of a role, read again whenever it has changed."""
 
-import os
 import signal
 from collections.abc import AsyncIterator, Callable
-from pathlib import Path
 
 import trio
 
 from chicorypost.events import Emit
-from chicorypost.platform import (
-    SETTINGS_VARIABLE,
-    NodeSettings,
-    NodeSettingsMistake,
-    read_node_settings,
-)
+from chicorypost.platform import NodeSettings, NodeSettingsMistake, load_node_settings
 from chicorypost.roles._events import SETTINGS_CHANGED, SETTINGS_REFUSED
 
 LOOK_SECONDS = 1.0
 """How often the file is looked at; it may change without a signal."""
 
 
-def load_node_settings() -> NodeSettings | NodeSettingsMistake:
-    """Read the settings file that the environment names."""
-    path = os.environ.get(SETTINGS_VARIABLE)
-    if path is None:
-        return NodeSettingsMistake(f"the variable {SETTINGS_VARIABLE} isn't set")
-    try:
-        return read_node_settings(Path(path).read_bytes())
-    except OSError as error:
-        return NodeSettingsMistake(str(error))
-
-
 async def watch_settings(
     settings: NodeSettings,
     changed: Callable[[NodeSettings], None],
--- /dev/null
+++ b/chicorypost/roles/tests/test_early.py
@@ -0,0 +1,253 @@
+"""After a loss of power everywhere a balancer forwards before its imports have ended."""
+
+import socket
+import sys
+from contextlib import closing
+
+import msgspec
+import pytest
+
+from chicorypost.announcements import FeedPage, ListedUpstream, Subscribe
+from chicorypost.announcements._messages import DocumentReply, DocumentRequest
+from chicorypost.announcements.tests.test_table import announce
+from chicorypost.base import DataCentreId, Endpoint, InstanceId, Version
+from chicorypost.cookies import make_cookie
+from chicorypost.events import Emit
+from chicorypost.platform import NodeSettings
+from chicorypost.platform._packets import make_address
+from chicorypost.platform.tests.test_readers import SYN
+from chicorypost.roles._early import PUMP_SECONDS, REDIAL_SECONDS, EarlyBalancer, ImportPump
+from chicorypost.roles._events import ROUTING_APPLIED
+from chicorypost.roles._journal import Journal
+from chicorypost.routing import (
+    Retryability,
+    Route,
+    RoutingDocument,
+    ServiceSpec,
+    WeightedService,
+)
+from chicorypost.transport import FrameBuffer, Hello, encode_frame
+
+LOOPBACK = "127.0.0.1"
+ROUNDS = 2000
+"""Bound of the looks at sockets of the loopback, whose bytes come at once."""
+
+
+def bound(kind):
+    held = socket.socket(socket.AF_INET, kind)
+    held.bind((LOOPBACK, 0))
+    held.setblocking(False)
+    return held
+
+
+class Control:
+    """A control instance that a test answers for."""
+
+    def __init__(self):
+        self.listener = bound(socket.SOCK_STREAM)
+        self.port = self.listener.getsockname()[1]
+        self.streams = []
+        self.frames = FrameBuffer()
+        self.heard = []
+
+    def listen(self):
+        self.listener.listen()
+
+    def step(self):
+        try:
+            stream = self.listener.accept()[0]
+            stream.setblocking(False)
+            self.streams.append(stream)
+            self.frames = FrameBuffer()
+        except (BlockingIOError, OSError):
+            pass
+        for stream in self.streams:
+            try:
+                self.frames.add(stream.recv(4096))
+            except OSError:
+                continue
+            while (message := self.frames.take()) is not None:
+                self.heard.append(message)
+
+    def send(self, message):
+        self.streams[-1].send(encode_frame(message))
+
+    def close(self):
+        for stream in [*self.streams, self.listener]:
+            stream.close()
+
+
+class Start:
+    """A balancer that is starting, one control instance and one upstream."""
+
+    def __init__(self):
+        self.now = 100.0
+        self.datagrams: list[bytes] = []
+        self.control = Control()
+        self.upstream = bound(socket.SOCK_DGRAM)
+        self.client = bound(socket.SOCK_DGRAM)
+        free = bound(socket.SOCK_DGRAM)
+        self.packets = Endpoint(*free.getsockname())
+        free.close()
+        settings = NodeSettings(
+            name="edge-1",
+            host=LOOPBACK,
+            data_centre=DataCentreId("a"),
+            packets=self.packets,
+            readiness=self.packets,
+            control=None,
+            peer_port=self.control.port,
+            seeds=(InstanceId(f"{LOOPBACK}:1"),),
+            founds=False,
+            data_folder=None,
+            announcement_seconds=1.0,
+            lost_disks=1,
+            stop_seconds=1.0,
+        )
+        self.early = EarlyBalancer(settings, Journal(), lambda: self.now)
+
+    def run_until(self, condition):
+        for _ in range(ROUNDS):
+            self.now += PUMP_SECONDS
+            self.early.pump()
+            self.control.step()
+            if condition():
+                return True
+        return False
+
+    def heard(self, kind):
+        return [item for item in self.control.heard if isinstance(item, kind)]
+
+    def send_packet(self, data=SYN):
+        self.client.sendto(data, (self.packets.host, self.packets.port))
+
+    def has_received(self):
+        try:
+            self.datagrams.append(self.upstream.recv(2048))
+        except BlockingIOError:
+            return False
+        return True
+
+    def answer(self):
+        """Send the table and the configuration as a control instance does."""
+        host, port = self.upstream.getsockname()
+        call = msgspec.structs.replace(announce("i-1"), endpoint=Endpoint(host, port))
+        listed = (ListedUpstream(call, False, 0),)
+        controls = (InstanceId(f"{LOOPBACK}:1"),)
+        self.control.send(FeedPage(1, 1, True, False, listed, controls, Version(4)))
+        assert self.run_until(lambda: self.heard(DocumentRequest))
+        address = make_address("198.18.0.1", 443)
+        shares = (WeightedService(call.service, 1),)
+        route = Route("r", address, shares, Retryability.IDEMPOTENT, 1000, 100, 1)
+        spec = ServiceSpec(call.service, "/", 10)
+        self.control.send(DocumentReply(RoutingDocument(Version(4), (route,), (spec,), 15.0)))
+        return call
+
+    def close(self):
+        self.early.hand_over().socket.close()
+        for held in (self.upstream, self.client):
+            held.close()
+        self.control.close()
+
+
+@pytest.fixture
+def start():
+    with closing(Start()) as held:
+        yield held
+
+
+def test_it_forwards_as_soon_as_it_has_upstreams_and_configuration(start):
+    start.control.listen()
+    assert start.run_until(lambda: start.heard(Subscribe))
+    assert isinstance(start.control.heard[0], Hello)
+    call = start.answer()
+    assert start.run_until(lambda: start.early.core.lacks() == "")
+    start.send_packet()
+    assert start.run_until(start.has_received)
+    assert start.datagrams[-1][8:][28:32] == make_cookie(call.endpoint).to_bytes(4, "big")
+
+
+def test_packets_that_come_before_the_configuration_wait_for_it(start):
+    start.control.listen()
+    start.send_packet()
+    assert start.run_until(lambda: start.heard(Subscribe))
+    assert start.early.core.router.counters["dropped-not-configured"] == 0
+    start.answer()
+    assert start.run_until(start.has_received)
+
+
+def test_a_seed_that_does_not_listen_yet_is_dialled_again(start):
+    start.early.pump()
+    start.now += REDIAL_SECONDS / 2
+    start.early.pump()
+    start.control.listen()
+    assert start.run_until(lambda: start.heard(Subscribe))
+
+
+def test_a_seed_that_closes_is_dialled_again(start):
+    start.control.listen()
+    assert start.run_until(lambda: start.heard(Subscribe))
+    start.control.streams.pop().close()
+    start.control.heard.clear()
+    assert start.run_until(lambda: start.heard(Subscribe))
+
+
+def test_a_seed_that_sends_no_frames_is_left(start):
+    start.control.listen()
+    assert start.run_until(lambda: start.heard(Subscribe))
+    start.control.streams[-1].send(b"\xff" * 64)
+    start.control.heard.clear()
+    assert start.run_until(lambda: start.heard(Subscribe))
+    assert start.early.core.view.document is None
+
+
+def test_what_it_knows_goes_on_after_the_hand_over(start):
+    start.control.listen()
+    assert start.run_until(lambda: start.heard(Subscribe))
+    start.answer()
+    assert start.run_until(lambda: start.early.core.lacks() == "")
+    core = start.early.hand_over()
+    assert core.view.version == 4
+    assert [feed.connected for feed in core.view.feeds.values()] == [False]
+    assert not next(iter(core.view.known.values())).silent
+    assert core.router.candidates
+
+
+def test_imports_are_interleaved_with_the_pump(tmp_path, monkeypatch):
+    (tmp_path / "first_of_two.py").write_text("import second_of_two\n")
+    (tmp_path / "second_of_two.py").write_text("")
+    monkeypatch.syspath_prepend(tmp_path)
+    calls = []
+    with ImportPump(lambda: calls.append(len(calls))):
+        __import__("first_of_two")
+    assert len(calls) == 2
+    __import__("second_of_two")
+    assert len(calls) == 2
+    for name in ("first_of_two", "second_of_two"):
+        sys.modules.pop(name)
+
+
+def test_imports_by_the_pump_call_it_no_second_time(tmp_path, monkeypatch):
+    (tmp_path / "imported_by_pump.py").write_text("")
+    monkeypatch.syspath_prepend(tmp_path)
+    calls = []
+
+    def pump():
+        calls.append(1)
+        __import__("imported_by_pump")
+
+    with ImportPump(pump), pytest.raises(ModuleNotFoundError):
+        __import__("no_such_module_here")
+    assert calls == [1]
+    sys.modules.pop("imported_by_pump")
+
+
+def test_events_before_the_log_opens_are_written_with_their_time():
+    written: list[tuple[Emit, float | None]] = []
+    journal, event = Journal(), ROUTING_APPLIED.emit(version=4)
+    journal.emit(event)
+    journal.open(lambda event, at: written.append((event, at)))
+    journal.emit(event)
+    assert [event for event, _ in written] == [event, event]
+    assert isinstance(written[0][1], float) and written[1][1] is None
+    assert journal.counts_by_name() == {"routing-applied": 2}
--- a/chicorypost/roles/tests/test_settings_file.py
+++ b/chicorypost/roles/tests/test_settings_file.py
@@ -9,9 +9,14 @@
 import trio
 import trio.testing
 
-from chicorypost.platform import SETTINGS_VARIABLE, NodeSettings, NodeSettingsMistake
+from chicorypost.platform import (
+    SETTINGS_VARIABLE,
+    NodeSettings,
+    NodeSettingsMistake,
+    load_node_settings,
+)
 from chicorypost.platform.tests.test_readers import SETTINGS
-from chicorypost.roles._settings_file import LOOK_SECONDS, load_node_settings, watch_settings
+from chicorypost.roles._settings_file import LOOK_SECONDS, watch_settings
 
 
 @pytest.fixture
--- a/chicorypost/transport/__init__.py
+++ b/chicorypost/transport/__init__.py
@@ -6,7 +6,8 @@
 
 if TYPE_CHECKING:
     from chicorypost.transport._datagrams import open_packet_socket
-    from chicorypost.transport._frames import END_OF_STREAM, EndOfStream, FrameReader, encode_frame
+    from chicorypost.transport._frame_buffer import FrameBuffer, encode_frame
+    from chicorypost.transport._frames import END_OF_STREAM, EndOfStream, FrameReader
     from chicorypost.transport._http import (
         Handler,
         HttpServer,
@@ -23,8 +24,8 @@
         open_http,
     )
     from chicorypost.transport._keys import write_keys
-    from chicorypost.transport._messages import Heartbeat, HeartbeatReply, Hello
-    from chicorypost.transport._peers import NOT_LISTENING, PeerLink, PeerNetwork
+    from chicorypost.transport._messages import NOT_LISTENING, Heartbeat, HeartbeatReply, Hello
+    from chicorypost.transport._peers import PeerLink, PeerNetwork
     from chicorypost.transport._settings import HttpSettings, TlsSettings, TransportSettings
     from chicorypost.transport._tls import TlsContexts
 
@@ -36,6 +37,7 @@
     "ExchangeFailed",
     "ExchangeFault",
     "ExchangeRequest",
+    "FrameBuffer",
     "FrameReader",
     "Handler",
     "Heartbeat",
@@ -67,6 +69,7 @@
         "ExchangeFailed": "_http_client",
         "ExchangeFault": "_http_client",
         "ExchangeRequest": "_http_client",
+        "FrameBuffer": "_frame_buffer",
         "FrameReader": "_frames",
         "Handler": "_http",
         "Heartbeat": "_messages",
@@ -77,13 +80,13 @@
         "HttpServerRequest": "_http",
         "HttpServerResponse": "_http",
         "HttpSettings": "_settings",
-        "NOT_LISTENING": "_peers",
+        "NOT_LISTENING": "_messages",
         "PeerLink": "_peers",
         "PeerNetwork": "_peers",
         "TlsContexts": "_tls",
         "TlsSettings": "_settings",
         "TransportSettings": "_settings",
-        "encode_frame": "_frames",
+        "encode_frame": "_frame_buffer",
         "exchange_once": "_http_client",
         "open_http": "_http_client",
         "open_packet_socket": "_datagrams",
--- a/chicorypost/transport/_messages.py
+++ b/chicorypost/transport/_messages.py
@@ -2,6 +2,9 @@
 
 from chicorypost.base import DataCentreId, Endpoint, Incarnation, InstanceId, Message
 
+NOT_LISTENING = 0
+"""Port in the hello of a process that takes no connections from peers."""
+
 
 class Hello(Message, frozen=True, array_like=True, tag=700):
     """First message on a connection: who dials and where it can be reached."""
--- a/chicorypost/transport/_peers.py
+++ b/chicorypost/transport/_peers.py
@@ -15,16 +15,14 @@
     PEER_LOST,
     QUEUE_FULL,
 )
-from chicorypost.transport._frames import EndOfStream, FrameReader, encode_frame
-from chicorypost.transport._messages import Heartbeat, HeartbeatReply, Hello
+from chicorypost.transport._frame_buffer import encode_frame
+from chicorypost.transport._frames import EndOfStream, FrameReader
+from chicorypost.transport._messages import NOT_LISTENING, Heartbeat, HeartbeatReply, Hello
 from chicorypost.transport._settings import TransportSettings
 from chicorypost.transport._tls import TlsContexts, certificate_names
 
 Receiver = Callable[[InstanceId, Message], None]
 
-NOT_LISTENING = 0
-"""Port in the hello of a process that takes no connections from peers."""
-
 
 def _ignore(instance: InstanceId) -> None:
     return None
