Pace datagrams to the capacity of the machine's link

A packet log of a scratch copy shows the 16 packets of a client's window at the balancer within 3 ms; the link out takes 1.4 Mbit/s, one packet in 7 ms, so most of them were lost, each round of 200 ms brought the same packets again (34 packets of data took 71 repeats), and openings and requests of other flows were lost with them. Ruled out: the choice of upstream (their slots are used to a seventh), the way in (the window arrives whole), processor time (0.016 of 0.116 cores). Change: chicorypost/pacing holds what the link can't take yet, by the capacity that the settings name, and serves flows in turn; flows that begin to wait go first, a copy of what still waits takes its place, what waits is bounded. Fast links never queue.

--- a/chicorypost/cookies/_packet.py
+++ b/chicorypost/cookies/_packet.py
@@ -30,6 +30,8 @@
         Length of the data behind the head.
     cookie : int
         The cookie that the client last received; 0 in a packet that opens a flow.
+    sequence : int, default 0
+        Where the packet stands among those of its client; the same in each copy.
     """
 
     flow: FlowKey
@@ -40,6 +42,7 @@
     acknowledged: int
     data_bytes: int
     cookie: int
+    sequence: int = 0
 
 
 class DropReason(Enum):
--- a/chicorypost/platform/_packets.py
+++ b/chicorypost/platform/_packets.py
@@ -45,7 +45,7 @@
     if len(data) < HEAD_BYTES:
         return BadPacket.TOO_SHORT
     head = _HEAD.unpack_from(data)
-    _, data_bytes, _, acknowledged, flags, _, _, port, host, _, cookie = head
+    _, data_bytes, sequence, acknowledged, flags, _, _, port, host, _, cookie = head
     if data_bytes != len(data) - HEAD_BYTES or data_bytes > MAX_DATA_BYTES:
         return BadPacket.WRONG_LENGTH
     opens = bool(flags & OPENS)
@@ -61,6 +61,7 @@
         acknowledged,
         data_bytes,
         cookie,
+        sequence,
     )
 
 
--- a/chicorypost/platform/_settings.py
+++ b/chicorypost/platform/_settings.py
@@ -6,6 +6,7 @@
 
 from chicorypost.base import DataCentreId, Endpoint, InstanceId
 
+BYTES_PER_MEGABIT = 125_000.0
 SETTINGS_VARIABLE = "CHICORYPOST_NODE_FILE"
 """Environment variable that names the settings file."""
 
@@ -16,6 +17,10 @@
     control: str = ""
 
 
+class _Limits(msgspec.Struct):
+    link_mbps: float = 0.0
+
+
 class _Tolerance(msgspec.Struct):
     machines: int = 1
 
@@ -36,6 +41,7 @@
     bootstrap: bool = False
     data_dir: str | None = None
     heartbeat_interval_ms: int = 1000
+    limits: _Limits = msgspec.field(default_factory=_Limits)
     fault_tolerance: _Tolerance = msgspec.field(default_factory=_Tolerance)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
@@ -71,6 +77,8 @@
         How many control instances may be lost at a time while all promises hold.
     stop_seconds : float
         Time between the request to stop and the kill.
+    link_bytes_per_second : float or None
+        What the machine's link takes, where the platform says it.
     """
 
     name: str
@@ -86,6 +94,7 @@
     announcement_seconds: float
     lost_disks: int
     stop_seconds: float
+    link_bytes_per_second: float | None = None
 
 
 class NodeSettingsMistake(msgspec.Struct, frozen=True):
@@ -135,6 +144,7 @@
             announcement_seconds=file.heartbeat_interval_ms / 1000,
             lost_disks=file.fault_tolerance.machines,
             stop_seconds=file.bounds.grace_s,
+            link_bytes_per_second=file.limits.link_mbps * BYTES_PER_MEGABIT or None,
         )
     except (msgspec.DecodeError, msgspec.ValidationError, ValueError) as error:
         return NodeSettingsMistake(str(error))
--- a/chicorypost/roles/_balancer.py
+++ b/chicorypost/roles/_balancer.py
@@ -1,5 +1,6 @@
 """The balancer role: the core on trio's loop, readiness, and the feeds of control instances."""
 
+import math
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
@@ -76,7 +77,12 @@
 
     def dump(self) -> dict[str, Any]:
         """Return the whole decision state of this process."""
-        return {"id": self.settings.host, "ready": not self.not_ready(), **self.engine.dump()}
+        return {
+            "id": self.settings.host,
+            "ready": not self.not_ready(),
+            "link": self.core.pacer.dump(),
+            **self.engine.dump(),
+        }
 
     def not_ready(self) -> str:
         """Return why the fabric shouldn't send packets here, or an empty string."""
@@ -153,11 +159,13 @@
             lambda: {
                 "events": self.journal.counts_by_name(),
                 "packets": self.router.count_packets(),
+                "paced": dict(self.core.pacer.counters),
             },
             lambda: {
                 "configuration_version": self.router.version,
                 "flows": len(tracker.flows),
                 "upstreams": len(self.router.upstreams),
+                "link_waiting_seconds": self.core.pacer.waiting_seconds,
                 "silent_upstreams": sum(item.silent for item in self.router.upstreams.values()),
             },
             {
@@ -168,7 +176,9 @@
 
     async def _forward_packets(self) -> None:
         while True:
-            await trio.lowlevel.wait_readable(self.core.socket)
+            deadline = self.core.pacer.next_deadline()
+            with trio.CancelScope(deadline=math.inf if deadline is None else deadline):
+                await trio.lowlevel.wait_readable(self.core.socket)
             self.core.forward_batch(self.engine)
             await trio.lowlevel.checkpoint()
 
--- a/chicorypost/roles/_balancer_core.py
+++ b/chicorypost/roles/_balancer_core.py
@@ -15,6 +15,7 @@
 from chicorypost.base import Endpoint, Incarnation, InstanceId, Instant
 from chicorypost.cookies import CookieRouter, CookieSettings
 from chicorypost.daemons import Dispatcher, Part, messages_in
+from chicorypost.pacing import LinkPacer, PacingSettings
 from chicorypost.platform import NodeSettings
 from chicorypost.roles._forwarding import Forwarder
 from chicorypost.roles._journal import Journal
@@ -44,7 +45,10 @@
         self.view = DirectoryView(announcements, settings.seeds, now)
         self.router = CookieRouter(CookieSettings(), settings.data_centre, Random(), now)
         self.socket = open_packet_socket(settings.packets, SOCKET_BUFFER_BYTES)
-        self.forwarder = Forwarder(self.router, self.socket, settings.packets.port, journal)
+        self.pacer = LinkPacer(PacingSettings(settings.link_bytes_per_second))
+        self.forwarder = Forwarder(
+            self.router, self.socket, settings.packets.port, self.pacer, journal
+        )
         self.hello = Hello(
             InstanceId(settings.host),
             Incarnation(time.time_ns() // 1_000_000),
--- a/chicorypost/roles/_early.py
+++ b/chicorypost/roles/_early.py
@@ -161,7 +161,9 @@
                 self._serve(connection, now)
         # Until it is known where packets go they wait in the socket: their clients would have to
         # repeat them.
-        if self.core.socket.fileno() in ready and not self.core.lacks():
+        release_at = self.core.pacer.next_deadline()
+        may_send = release_at is not None and release_at <= now
+        if (self.core.socket.fileno() in ready or may_send) and not self.core.lacks():
             self.core.forward_batch(self.dispatcher)
         self.pump_at = self.clock() + PUMP_SECONDS
 
--- a/chicorypost/roles/_events.py
+++ b/chicorypost/roles/_events.py
@@ -75,3 +75,11 @@
     "A packet could not be sent; the sender will send it again.",
     "reason",
 )
+LINK_FULL = define_event(
+    53,
+    "link-full",
+    Level.WARNING,
+    "A packet was dropped because more waits for the link of this machine than may.",
+    "waiting_seconds",
+    "flows",
+)
--- a/chicorypost/roles/_forwarding.py
+++ b/chicorypost/roles/_forwarding.py
@@ -3,9 +3,10 @@
 import socket
 
 from chicorypost.base import Instant
-from chicorypost.cookies import CookieRouter, ForwardTo, ResetFlow
+from chicorypost.cookies import CookiePacket, CookieRouter, ForwardTo, ResetFlow
+from chicorypost.pacing import LinkPacer
 from chicorypost.platform import BadPacket, make_reset, read_packet, wrap_packet
-from chicorypost.roles._events import PACKET_SOCKET_FAILED
+from chicorypost.roles._events import LINK_FULL, PACKET_SOCKET_FAILED
 from chicorypost.roles._flow_log import FlowLog
 from chicorypost.roles._journal import Journal
 
@@ -25,6 +26,8 @@
         Where the fabric sends packets; packets leave from it too.
     client_port : int
         Port at which clients take packets.
+    pacer : LinkPacer
+        Says when datagrams may leave.
     journal : Journal
         Takes log events.
     """
@@ -34,16 +37,21 @@
         router: CookieRouter,
         packet_socket: socket.socket,
         client_port: int,
+        pacer: LinkPacer,
         journal: Journal,
     ) -> None:
         self.router = router
         self.socket = packet_socket
         self.client_port = client_port
+        self.pacer = pacer
         self.journal = journal
         self.flow_log = FlowLog(router, journal.emit)
 
     def forward_batch(self, now: Instant) -> None:
-        """Read and forward the packets that wait, up to a bound, without awaiting each."""
+        """Send what the link takes now, then read and forward packets, up to a bound."""
+        if self.pacer.turns:
+            for item in self.pacer.release(now):
+                self._send_datagram(item.content, item.address)
         for _ in range(BATCH_PACKETS):
             try:
                 data = self.socket.recv(DATAGRAM_BYTES)
@@ -60,13 +68,24 @@
             # Nearly all packets take this branch, so it is tested before the other.
             if type(decision) is ForwardTo:
                 datagram = wrap_packet(data, decision.token, decision.cookie)
-                self._send_datagram(datagram, decision.address)
+                if self.pacer.admit(datagram, now):
+                    self._send_datagram(datagram, decision.address)
+                else:
+                    self._hold(packet, datagram, decision.address)
             elif type(decision) is ResetFlow:
                 host, reset = make_reset(data)
                 self._send_datagram(reset, (host, self.client_port))
             if packet.data_bytes or packet.opens or type(decision) is not ForwardTo:
                 self.flow_log.note(packet, data, decision)
 
+    def _hold(self, packet: CookiePacket, datagram: bytes, address: tuple[str, int]) -> None:
+        dropped = self.pacer.counters["dropped"]
+        sequence = packet.sequence if packet.data_bytes else None
+        self.pacer.hold(packet.flow, sequence, datagram, address)
+        if self.pacer.counters["dropped"] > dropped:
+            waiting = round(self.pacer.waiting_seconds, 3)
+            self.journal.emit(LINK_FULL.emit(waiting_seconds=waiting, flows=len(self.pacer.flows)))
+
     def _send_datagram(self, data: bytes, address: tuple[str, int]) -> None:
         """Send a datagram; a full socket buffer loses it, as a network may."""
         try:
