--- a/chicorypost/pacing/tests/test_pacer.py
+++ b/chicorypost/pacing/tests/test_pacer.py
@@ -10,7 +10,8 @@
 ADDRESS = ("10.0.0.1", 80)
 WINDOW = 16
 """Packets that a client sends at once."""
-THIN = PacingSettings(bytes_per_second=175_000.0)
+LINK_BYTES_PER_SECOND = 175_000.0
+THIN = PacingSettings(bytes_per_second=LINK_BYTES_PER_SECOND)
 NOW = Instant(50.0)
 
 
@@ -40,12 +41,12 @@
     at_once = sum(send(pacer, UPLOAD, number, NOW) for number in range(WINDOW))
     left = drain(pacer, NOW)
     assert at_once + len(left) == WINDOW
-    capacity = THIN.bytes_per_second * THIN.backlog_seconds
+    capacity = LINK_BYTES_PER_SECOND * THIN.backlog_seconds
     assert at_once <= capacity // 1240 + 1
     assert [item.sequence for _, item in left] == list(range(at_once, WINDOW))
     for number, (at, _) in enumerate(left):
         sent = (at_once + number + 1) * 1240
-        assert sent <= (at - NOW) * THIN.bytes_per_second + capacity + 1240
+        assert sent <= (at - NOW) * LINK_BYTES_PER_SECOND + capacity + 1240
 
 
 def test_a_window_is_over_before_its_client_repeats_it():
@@ -134,6 +135,6 @@
     total = 0
     for at, content in sent:
         total += len(content)
-        slack = THIN.bytes_per_second * THIN.backlog_seconds + 1240
-        assert total <= (at - NOW) * THIN.bytes_per_second + slack
+        slack = LINK_BYTES_PER_SECOND * THIN.backlog_seconds + 1240
+        assert total <= (at - NOW) * LINK_BYTES_PER_SECOND + slack
     assert not pacer.flows and abs(pacer.waiting_seconds) < 1e-9
--- /dev/null
+++ b/tests/test_link_model.py
@@ -0,0 +1,21 @@
+"""Uploads through thin links, in each pattern of load: a window at once, bursts, short buffers."""
+
+import pytest
+
+from benchmarks.link_model import PATTERNS, LinkModel
+
+IN_AIM = 0.80
+"""Worth that the grown sites aim at, of which a site's uploads are the kind that waits most."""
+
+
+@pytest.mark.parametrize("pattern", PATTERNS)
+def test_paced_uploads_are_in_aim_and_delay_no_short_request(pattern):
+    result = LinkModel(PATTERNS[pattern], True, seed=1).run()
+    assert result["uploads"] >= IN_AIM
+    assert result["requests"] >= 0.99
+    assert result["sent_per_packet"] < 1.1
+
+
+@pytest.mark.parametrize("pattern", ["burst", "short-buffer"])
+def test_the_model_shows_what_a_window_at_once_loses(pattern):
+    assert LinkModel(PATTERNS[pattern], False, seed=1).run()["uploads"] < IN_AIM
