Send clients elsewhere when a cut leaves no upstream of a service in reach

That data centre was cut off, and after a release all seven upstreams of the order service stood in others: its balancers went on asking for packets, and sent each opening to one unreachable upstream after the other. They also trusted a suspected upstream again 1.4 s later each time: a client that gives up ends its flow and repeats the end, which counted as an answer on a flow that was new. Change: a balancer that reaches less than half of the control instances and knows a service of whose upstreams none answers or is heard answers the fabric's probe with 503 and says why (not-ready). Packets of a flow whose client has ended it are neither an answer nor load. upstream-seen names the data centre. The pacer compares the same time in all places, so that a wake-up at its deadline always finds room.

--- a/benchmarks/soak/world.py
+++ b/benchmarks/soak/world.py
@@ -27,6 +27,8 @@
 SUPERVISE_SECONDS = 0.2
 CALL_SECONDS = 1.0
 BEAT_SECONDS = 0.5
+LINK_MEGABITS = 0.3
+"""Link that balancers are told of: so thin that packets wait in them now and then."""
 SERVICES = ("orders", "archive")
 DATA_CENTRES = ("a", "b", "c")
 
@@ -79,6 +81,7 @@
             "bootstrap": True,
             "heartbeat_interval_ms": int(BEAT_SECONDS * 1000),
             "fault_tolerance": {"machines": 1},
+            "limits": {"link_mbps": LINK_MEGABITS},
         }
 
     def _control(self, number: int) -> RoleProcess:
--- a/chicorypost/announcements/_view.py
+++ b/chicorypost/announcements/_view.py
@@ -123,6 +123,12 @@
         """Version in force; 0 before the first configuration."""
         return self.document.version if self.document is not None else NO_VERSION
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether less than half of the control instances can be reached."""
+        connected = sum(feed.connected for feed in self.feeds.values())
+        return 2 * connected < len(self.controls)
+
     @property
     def has_directory(self) -> bool:
         """Whether some control instance has ever sent its table."""
--- a/chicorypost/cookies/_events.py
+++ b/chicorypost/cookies/_events.py
@@ -56,6 +56,7 @@
     "upstream",
     "service",
     "standing",
+    "data_centre",
     "silent",
     "born_ms",
     "sequence",
--- a/chicorypost/cookies/_flows.py
+++ b/chicorypost/cookies/_flows.py
@@ -40,6 +40,8 @@
     def __init__(self) -> None:
         self.flows: dict[FlowKey, FlowState] = {}
         self.loads: dict[UpstreamId, UpstreamLoad] = {}
+        self.closed: dict[FlowKey, Instant] = {}
+        """Flows that their clients have ended, and when; packets of theirs may still come."""
         self.opening_seconds = PlainHistogram()
         """From the first opening packet to the first packet that shows an answer."""
         self.request_seconds = PlainHistogram()
@@ -55,6 +57,7 @@
     def open(self, flow: FlowKey, upstream: UpstreamId, now: Instant) -> None:
         """Note that a flow is being opened at an upstream."""
         self.close(flow)
+        self.closed.pop(flow, None)
         self.flows[flow] = FlowState(upstream, now, opening=True, opened_at=now)
         load = self.load(upstream)
         load.flows += 1
@@ -62,14 +65,21 @@
 
     def pass_packet(self, packet: CookiePacket, upstream: UpstreamId, now: Instant) -> bool:
         """Note a packet of an open flow; return whether it shows that the upstream has answered."""
+        if packet.flow in self.closed:
+            # The client repeats the end of a flow, or acknowledges that of the upstream.
+            return False
         state = self.flows.get(packet.flow)
-        if state is None or state.upstream != upstream:
+        is_new = state is None or state.upstream != upstream
+        if state is None or is_new:
             # Opened through another balancer, or at another upstream than the one chosen here.
             self.open(packet.flow, upstream, now)
             state = self.flows[packet.flow]
         load = self.load(upstream)
         state.seen_at = now
         has_answered = state.opening or packet.acknowledged != state.acknowledged
+        if is_new and packet.ends:
+            # A client that gives up ends its flow too.
+            has_answered = False
         if state.opening:
             state.opening = False
             self.opening_seconds.observe(now - state.opened_at)
@@ -85,6 +95,7 @@
         state.acknowledged = packet.acknowledged
         if packet.ends:
             self.close(packet.flow)
+            self.closed[packet.flow] = now
         return has_answered
 
     def close(self, flow: FlowKey) -> None:
@@ -98,7 +109,7 @@
         load.busy -= state.busy
 
     def expire(self, now: Instant, opening_seconds: float, idle_seconds: float) -> None:
-        """Forget flows that never opened or were idle for long."""
+        """Forget flows that never opened, were idle for long, or ended long ago."""
         old = [
             flow
             for flow, state in self.flows.items()
@@ -106,6 +117,8 @@
         ]
         for flow in old:
             self.close(flow)
+        for flow in [name for name, at in self.closed.items() if now - at >= idle_seconds]:
+            del self.closed[flow]
 
     def forget_upstream(self, upstream: UpstreamId) -> None:
         """Forget an upstream and all of its flows."""
--- a/chicorypost/cookies/_router.py
+++ b/chicorypost/cookies/_router.py
@@ -170,6 +170,16 @@
         services = {target.service for target in route.targets} if route is not None else set()
         return sum(len(self.candidates.get(service, ())) for service in services)
 
+    def find_unreachable(self) -> ServiceId | None:
+        """Return a service none of whose upstreams answers here or is heard; None if all do."""
+        for service, items in self.candidates.items():
+            if all(
+                item.silent or self.suspects.is_doubted(item.announcement.upstream)
+                for item in items
+            ):
+                return service
+        return None
+
     @property
     def version(self) -> Version:
         """Version of the configuration in force; 0 before the first."""
@@ -269,6 +279,7 @@
         upstream=announcement.upstream,
         service=announcement.service,
         standing=announcement.standing.value,
+        data_centre=announcement.data_centre,
         silent=item.silent,
         born_ms=announcement.born_ms,
         sequence=announcement.sequence,
--- a/chicorypost/cookies/_suspects.py
+++ b/chicorypost/cookies/_suspects.py
@@ -58,6 +58,11 @@
         suspicion = self.suspicions.get(upstream)
         return suspicion is not None and now < suspicion.until
 
+    def is_doubted(self, upstream: UpstreamId) -> bool:
+        """Return whether the last opening was left unanswered, however long ago."""
+        suspicion = self.suspicions.get(upstream)
+        return suspicion is not None and suspicion.rounds > 0
+
     def is_dead(self, upstream: UpstreamId) -> bool:
         """Return whether several openings in a row were left unanswered."""
         suspicion = self.suspicions.get(upstream)
--- a/chicorypost/cookies/tests/test_router.py
+++ b/chicorypost/cookies/tests/test_router.py
@@ -261,3 +261,57 @@
     show(router, place(NAMES[1], "b"), place(NAMES[2], "c"))
     found = shares(router)
     assert found[NAMES[1]] > 0.4 and found[NAMES[2]] > 0.4
+
+
+def doubt(router, flow, seconds=0.0):
+    """Let an opening stay unanswered; return the upstream that got it."""
+    first = router.route(opening(flow), at(seconds))
+    router.route(opening(flow, copies=1), at(seconds + 0.2))
+    return first.upstream
+
+
+def test_a_service_is_unreachable_when_no_upstream_answers_or_is_heard(router):
+    show(router, see(NAMES[0]), see(NAMES[1]))
+    first = doubt(router, b"f")
+    assert router.find_unreachable() is None
+    second = doubt(router, b"g", seconds=0.3)
+    assert {first, second} == set(NAMES[:2])
+    assert router.find_unreachable() == SERVICE
+    show(router, see(NAMES[0]), see(NAMES[1]), see(NAMES[2]), seconds=1.0)
+    assert router.find_unreachable() is None
+    show(router, see(NAMES[0]), see(NAMES[1]), see(NAMES[2], silent=True), seconds=1.0)
+    assert router.find_unreachable() == SERVICE
+
+
+def test_what_a_client_repeats_to_a_dead_upstream_is_no_answer(router):
+    show(router, see(NAMES[0]))
+    router.route(opening(b"f"), at(0.0))
+    router.route(opening(b"f", copies=1), at(0.2))
+    assert router.suspects.is_doubted(NAMES[0])
+    for seconds in (0.3, 0.5, 0.9):
+        router.route(following(b"before", cookie_of(NAMES[0]), ends=True), at(seconds))
+        router.route(following(b"before", cookie_of(NAMES[0]), data=500), at(seconds))
+    assert router.suspects.is_doubted(NAMES[0])
+    assert router.find_unreachable() == SERVICE
+
+
+def test_an_answer_to_an_opening_of_its_own_ends_the_doubt(router):
+    show(router, see(NAMES[0]))
+    router.route(opening(b"f"), at(0.0))
+    router.route(opening(b"f", copies=1), at(0.2))
+    router.route(following(b"f", cookie_of(NAMES[0])), at(0.3))
+    assert not router.suspects.is_doubted(NAMES[0])
+    assert router.find_unreachable() is None
+
+
+def test_packets_after_the_end_of_a_flow_are_no_load(router):
+    first = router.route(opening(b"f"), START)
+    cookie = cookie_of(first.upstream)
+    router.route(following(b"f", cookie, ends=True), at(0.1))
+    router.route(following(b"f", cookie), at(0.2))
+    assert router.tracker.load(first.upstream).flows == 0
+    router.route(opening(b"f"), at(0.3))
+    assert sum(load.flows for load in router.tracker.loads.values()) == 1
+    router.route(following(b"g", cookie, ends=True), at(0.4))
+    router.handle(Tick(), at(60.0))
+    assert not router.tracker.closed
--- a/chicorypost/pacing/_pacer.py
+++ b/chicorypost/pacing/_pacer.py
@@ -49,7 +49,7 @@
 
     def admit(self, content: bytes, now: Instant) -> bool:
         """Return whether a datagram may leave at once; it then counts as sent."""
-        if self.flows or self.free_at - now > self.settings.backlog_seconds:
+        if self.flows or now < self.free_at - self.settings.backlog_seconds:
             return False
         self.free_at = Instant(max(self.free_at, now) + self._seconds(content))
         return True
@@ -90,7 +90,7 @@
     def release(self, now: Instant) -> list[WaitingDatagram]:
         """Return what may leave now; it then counts as sent."""
         released: list[WaitingDatagram] = []
-        while self.turns and self.free_at - now <= self.settings.backlog_seconds:
+        while self.turns and now >= self.free_at - self.settings.backlog_seconds:
             flow = self.turns.popleft()
             waiting = self.flows[flow]
             item = waiting.popleft()
--- a/chicorypost/roles/_balancer.py
+++ b/chicorypost/roles/_balancer.py
@@ -16,7 +16,7 @@
 from chicorypost.platform import NodeSettings
 from chicorypost.roles._admin import serve_admin
 from chicorypost.roles._balancer_core import BalancerCore
-from chicorypost.roles._events import READY, ROUTING_APPLIED
+from chicorypost.roles._events import NOT_READY, READY, ROUTING_APPLIED
 from chicorypost.roles._journal import Journal
 from chicorypost.roles._process import make_network
 from chicorypost.roles._settings_file import watch_settings
@@ -52,7 +52,8 @@
         self.stop = StopControl(LEAVE_SECONDS + 1.0, journal.emit)
         self.view = core.view
         self.router = core.router
-        self.was_ready = False
+        self.told: str | None = None
+        """Why the fabric was told last not to send packets here; empty if it may."""
         self.network = make_network(core.settings, core.hello, self.engine, journal)
 
     def _send(self, to: InstanceId, message: Message) -> None:
@@ -88,7 +89,7 @@
         """Return why the fabric shouldn't send packets here, or an empty string."""
         if self.stop.is_stopping:
             return "stopping"
-        return self.core.lacks()
+        return self.core.lacks() or self.core.isolation()
 
     async def _answer(self, request: "HttpServerRequest") -> "HttpServerResponse":
         from chicorypost.platform import (
@@ -102,12 +103,13 @@
         if read_call(request) is not Simple.READY:
             return answer_unknown()
         reason = self.not_ready()
-        if reason:
-            return answer_unavailable(reason)
-        if not self.was_ready:
-            self.was_ready = True
-            self.journal.emit(READY.emit(version=self.view.version))
-        return answer_done()
+        if reason != self.told:
+            self.told = reason
+            event = (
+                NOT_READY.emit(reason=reason) if reason else READY.emit(version=self.view.version)
+            )
+            self.journal.emit(event)
+        return answer_unavailable(reason) if reason else answer_done()
 
     async def run(self) -> None:
         """Serve until a stop."""
--- a/chicorypost/roles/_balancer_core.py
+++ b/chicorypost/roles/_balancer_core.py
@@ -73,3 +73,13 @@
         if self.view.document is None:
             return "no configuration yet"
         return "" if self.view.has_directory else "no upstreams known yet"
+
+    def isolation(self) -> str:
+        """Return why another data centre serves better, or an empty string.
+
+        A data centre that is cut off may have no upstream of some service. Clients reach the others
+        all the same, so the fabric is asked to send them there. What is unreachable from everywhere
+        is no reason: control instances would be in reach then.
+        """
+        service = self.router.find_unreachable() if self.view.is_cut_off else None
+        return f"cut off from all upstreams of {service}" if service is not None else ""
--- a/chicorypost/roles/_events.py
+++ b/chicorypost/roles/_events.py
@@ -83,3 +83,10 @@
     "waiting_seconds",
     "flows",
 )
+NOT_READY = define_event(
+    54,
+    "not-ready",
+    Level.WARNING,
+    "The balancer asks the fabric to send packets elsewhere.",
+    "reason",
+)
