Test when a balancer counts as cut off, and when it sends clients elsewhere

Change: tests of the view (less than half of the control instances) and of the core (both conditions, and each alone). Code unchanged.

--- a/chicorypost/announcements/tests/test_spread.py
+++ b/chicorypost/announcements/tests/test_spread.py
@@ -101,6 +101,16 @@
     assert not network.seen[ORDERS].silent
 
 
+def test_a_balancer_is_cut_off_when_it_reaches_less_than_half_of_the_instances(network):
+    assert not network.view.is_cut_off
+    network.stop("c1")
+    assert not network.view.is_cut_off
+    network.stop("c2")
+    assert network.view.is_cut_off
+    network.start("c1", 9)
+    assert not network.view.is_cut_off
+
+
 def test_a_cut_between_instances_does_not_silence_what_either_side_hears(network):
     here, there = keep_calling(network, "c1"), keep_calling(network, "c3", ARCHIVE, "10.0.0.2")
 
--- a/chicorypost/roles/tests/test_early.py
+++ b/chicorypost/roles/tests/test_early.py
@@ -128,13 +128,13 @@
             return False
         return True
 
-    def answer(self):
-        """Send the table and the configuration as a control instance does."""
+    def answer(self, controls=1):
+        """Send the table and the configuration as one of some control instances does."""
         host, port = self.upstream.getsockname()
         call = msgspec.structs.replace(announce("i-1"), endpoint=Endpoint(host, port))
         listed = (ListedUpstream(call, False, 0),)
-        controls = (InstanceId(f"{LOOPBACK}:1"),)
-        self.control.send(FeedPage(1, 1, True, False, listed, controls, Version(4)))
+        names = tuple(InstanceId(f"{LOOPBACK}:{number + 1}") for number in range(controls))
+        self.control.send(FeedPage(1, 1, True, False, listed, names, Version(4)))
         assert self.run_until(lambda: self.heard(DocumentRequest))
         address = make_address("198.18.0.1", 443)
         shares = (WeightedService(call.service, 1),)
@@ -213,6 +213,28 @@
     assert core.router.candidates
 
 
+@pytest.mark.parametrize(
+    ("controls", "doubted", "reason"),
+    [
+        (1, True, ""),
+        (2, True, ""),
+        (4, False, ""),
+        (4, True, "cut off from all upstreams of orders"),
+    ],
+)
+def test_only_a_cut_without_a_reachable_upstream_sends_clients_elsewhere(
+    start, controls, doubted, reason
+):
+    start.control.listen()
+    assert start.run_until(lambda: start.heard(Subscribe))
+    call = start.answer(controls)
+    core = start.early.core
+    assert start.run_until(lambda: core.lacks() == "")
+    if doubted:
+        core.router.suspects.unanswered(call.upstream, start.now, start.now)
+    assert core.isolation() == reason
+
+
 def test_imports_are_interleaved_with_the_pump(tmp_path, monkeypatch):
     (tmp_path / "first_of_two.py").write_text("import second_of_two\n")
     (tmp_path / "second_of_two.py").write_text("")
