Add hanging, grey and flapping upstreams to the model of the load

Ruled out: drawing a random number for every request, which changed the runs of all other patterns and failed test_every_way_serves_a_calm_day for the way "random". Conclusion: kept; nothing ejects an upstream for answers that balancers can't see.

--- a/benchmarks/load_model/model.py
+++ b/benchmarks/load_model/model.py
@@ -77,6 +77,12 @@
     flows: set[FlowKey] = field(default_factory=set)
     dead: bool = False
     slowness: float = 1.0
+    grey_share: float = 0.0
+    """Share of its requests that it refuses at once, while it looks healthy."""
+    hangs: bool = False
+    """Whether it takes requests and answers none."""
+    run: int = 0
+    """Counts its starts; flows of an earlier one are lost."""
     standing: Standing = Standing.READY
     silent: bool = False
     served: int = 0
@@ -186,6 +192,18 @@
 
         self.at(SILENT_SECONDS, notice)
 
+    def flap(self, item: ModelUpstream, down_seconds: float) -> None:
+        """End an upstream without a word and start it again, too soon for anyone to notice."""
+        item.dead = True
+        item.run += 1
+        item.running = 0
+        item.waiting.clear()
+
+        def start() -> None:
+            item.dead = False
+
+        self.at(down_seconds, start)
+
     def run(self) -> Result:
         """Play until the end and return what clients saw."""
         self._arrive()
@@ -225,6 +243,7 @@
         self.requests = requests
         self.cookie = 0
         self.acknowledged = 0
+        self.upstream_run = 0
         self.asked_at = 0.0
         self.done = False
 
@@ -264,6 +283,7 @@
         if self.cookie or self.done:
             return
         self.cookie, self.acknowledged = cookie, 1
+        self.upstream_run = item.run
         item.flows.add(self.key)
         self._send_request()
 
@@ -282,7 +302,14 @@
         if isinstance(decision, ForwardTo):
             item = self._find(decision.upstream)
             if self._is_reached(item):
-                self._work(item)
+                self._reach(item)
+
+    def _reach(self, item: ModelUpstream) -> None:
+        refuses = item.grey_share > 0.0 and self.model.random.random() < item.grey_share
+        if refuses or item.run != self.upstream_run:
+            self._fail()
+        elif not item.hangs:
+            self._work(item)
 
     def _work(self, item: ModelUpstream) -> None:
         settings = self.model.settings
@@ -294,9 +321,11 @@
             return
         item.running += 1
         work = self.model.random.expovariate(1 / (settings.work_seconds * item.slowness))
-        self.model.at(work, lambda: self._worked(item))
+        self.model.at(work, partial(self._worked, item, item.run))
 
-    def _worked(self, item: ModelUpstream) -> None:
+    def _worked(self, item: ModelUpstream, run: int) -> None:
+        if run != item.run:
+            return
         item.running -= 1
         item.served += 1
         if item.waiting:
--- a/benchmarks/load_model/patterns.py
+++ b/benchmarks/load_model/patterns.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 from benchmarks.load_model.model import Model
 from chicorypost.announcements import Standing
@@ -39,6 +40,27 @@
     model.at(6.0, slow)
 
 
+def _hang(model: Model) -> None:
+    def set_hangs(hangs: bool) -> None:
+        model.upstreams[1].hangs = hangs
+
+    model.at(6.0, partial(set_hangs, True))
+    model.at(12.0, partial(set_hangs, False))
+
+
+def _grey(model: Model) -> None:
+    def set_share(share: float) -> None:
+        model.upstreams[1].grey_share = share
+
+    model.at(6.0, partial(set_share, 0.4))
+    model.at(12.0, partial(set_share, 0.0))
+
+
+def _flap(model: Model) -> None:
+    for number in range(4):
+        model.at(5.0 + 1.7 * number, partial(model.flap, model.upstreams[1], 0.85))
+
+
 def _zone_cut(model: Model) -> None:
     def begin() -> None:
         model.cut = model.places[0]
@@ -75,6 +97,9 @@
     "burst": Pattern("1.7 times the load for 3 s", _burst),
     "crash": Pattern("an upstream ends without a word", _crash),
     "slow": Pattern("an upstream takes five times as long", _slow),
+    "hang": Pattern("an upstream takes requests and answers none for 6 s", _hang),
+    "grey": Pattern("an upstream refuses two of five requests for 6 s", _grey),
+    "flap": Pattern("an upstream ends and comes back four times", _flap),
     "zone-cut": Pattern("a data centre is cut off for 6 s", _zone_cut),
     "release": Pattern("upstreams are replaced one after the other", _release),
     "scale-out": Pattern("empty upstreams are added", _scale_out),
--- a/tests/test_load_model.py
+++ b/tests/test_load_model.py
@@ -28,6 +28,11 @@
     assert seen("slow", "product")["failed"] < seen("slow", "random")["failed"] / 2
 
 
+@pytest.mark.parametrize("pattern", ["hang", "grey", "flap"])
+def test_an_upstream_that_looks_well_costs_less_than_by_chance(pattern):
+    assert seen(pattern, "product")["failed"] < seen(pattern, "random")["failed"]
+
+
 @pytest.mark.parametrize("pattern", ["calm", "wave", "release", "scale-out"])
 def test_planned_work_and_waves_lose_nothing(pattern):
     assert seen(pattern, "product")["failed"] == 0.0
