Serve routes of any kind; only safe and download ones are idempotent

Cause: the adapter knew three kinds of route and refused every configuration that held a fourth one, so a deployment with downloads was never configured (400, unknown kind 'download', at every control instance) and served nothing. Change: safe and download are idempotent, any other kind may run once at most. Nothing in the packet path depends on the kind.

--- a/chicorypost/platform/_configuration.py
+++ b/chicorypost/platform/_configuration.py
@@ -17,9 +17,11 @@
 
 _RETRYABILITY_BY_ROUTE_TYPE = {
     "safe": Retryability.IDEMPOTENT,
+    "download": Retryability.IDEMPOTENT,
     "unsafe": Retryability.NON_IDEMPOTENT,
     "upload": Retryability.UPLOAD,
 }
+"""Requests of any other type may run once at most."""
 
 
 class _SplitTarget(msgspec.Struct):
@@ -31,7 +33,7 @@
     name: str
     host: str  # virtual IPv4 address that clients connect to
     path_prefix: str  # port that clients connect to, between slashes; not a path
-    route_type: str  # a key of _RETRYABILITY_BY_ROUTE_TYPE
+    route_type: str  # kind of the requests that the flows carry
     timeout_ms: int
     service: str | None = None
     split: list[_SplitTarget] | None = None
@@ -85,15 +87,12 @@
 
 
 def _read_route(route: _Route) -> Route:
-    retryability = _RETRYABILITY_BY_ROUTE_TYPE.get(route.route_type)
-    if retryability is None:
-        raise ValueError(f"route {route.name!r:.60}: unknown kind {route.route_type!r:.60}")
     endpoint = read_endpoint(f"{route.host}:{route.path_prefix.strip('/')}")
     return Route(
         name=route.name,
         address=make_address(endpoint.host, endpoint.port),
         targets=_read_targets(route),
-        retryability=retryability,
+        retryability=_RETRYABILITY_BY_ROUTE_TYPE.get(route.route_type, Retryability.NON_IDEMPOTENT),
         timeout_ms=route.timeout_ms,
         target_ms=route.target_latency_ms,
         priority=route.priority,
