Keep one bad message, error, stop or restart from costing more than its own exchange

Causes, found by looking for the reports of other operators: - A process ended on one bad input: an announcement with seq, born or warm-up beyond 64 bits was taken and failed when it was encoded for the peers; a request target such as 'http://[' raised in urlsplit; a configuration with a huge number raised in its reader; a control instance that was sent a message of the feed raised TypeError.

Change: numbers and names of calls, configurations and settings have bounds, read at the boundary. HTTP servers, peer connections and packet batches report an unexpected error by a numbered event and end the one exchange; broken invariants still stop the daemons. Soft state machines of the roles lose the one event; the replica is dropped as in a crash and restarts from its data folder. Messages that no machine takes are ignored with a line. HTTP servers go on accepting for linger_seconds during a stop and answer what they have read. An incomplete table refuses an unknown leave notice with 503, so that the upstream asks the next instance. A configuration in the log that this build can't read no longer ends the process.

--- a/chicorypost/announcements/__init__.py
+++ b/chicorypost/announcements/__init__.py
@@ -9,7 +9,13 @@
 from chicorypost.base._lazy import import_lazily
 
 if TYPE_CHECKING:
-    from chicorypost.announcements._messages import AnnouncementTableReply, FeedPage, Subscribe
+    from chicorypost.announcements._messages import (
+        REGISTRY_MESSAGES,
+        VIEW_MESSAGES,
+        AnnouncementTableReply,
+        FeedPage,
+        Subscribe,
+    )
     from chicorypost.announcements._records import (
         AnnouncedStatus,
         Announcement,
@@ -38,6 +44,8 @@
     )
 
 __all__ = [
+    "REGISTRY_MESSAGES",
+    "VIEW_MESSAGES",
     "AnnouncedStatus",
     "Announcement",
     "AnnouncementOutcome",
@@ -68,6 +76,8 @@
 __getattr__ = import_lazily(
     __name__,
     {
+        "REGISTRY_MESSAGES": "_messages",
+        "VIEW_MESSAGES": "_messages",
         "UpstreamCallReceived": "_records",
         "Announcement": "_records",
         "UpstreamCallCompleted": "_records",
--- a/chicorypost/announcements/_messages.py
+++ b/chicorypost/announcements/_messages.py
@@ -94,3 +94,18 @@
     """The newest configuration of the sender."""
 
     document: RoutingDocument
+
+
+REGISTRY_MESSAGES: tuple[type[Message], ...] = (
+    AnnouncementTableRequest,
+    AnnouncementTableReply,
+    ReplicateChanges,
+    ChangesReplicated,
+    ReportContacts,
+    Subscribe,
+    DocumentRequest,
+)
+"""Messages that a control instance takes."""
+
+VIEW_MESSAGES: tuple[type[Message], ...] = (FeedPage, DocumentReply)
+"""Messages that a balancer takes."""
--- a/chicorypost/announcements/_records.py
+++ b/chicorypost/announcements/_records.py
@@ -96,6 +96,8 @@
     """Ignored: a later call, or a later upstream at the same address, is known."""
     UNKNOWN = "unknown"
     """Ignored: a leave notice of an upstream that was never announced."""
+    NOT_YET_KNOWN = "not yet known"
+    """Refused: a leave notice of an upstream that peers may list, but this instance doesn't yet."""
 
 
 class UpstreamCallReceived(Event, msgspec.Struct, frozen=True):
--- a/chicorypost/announcements/_registry.py
+++ b/chicorypost/announcements/_registry.py
@@ -79,7 +79,9 @@
     The response to a call that takes an upstream out of use waits until all connected peers have
     replicated it or `hold_seconds` have passed, so that a crash of this process doesn't lose it.
     The table of a process that has just started lacks upstreams: `is_complete` stays False until
-    every live upstream has had time to call, or until a peer sends a complete table.
+    every live upstream has had time to call, or until a peer sends a complete table. Until then the
+    leave notice of an unknown upstream is refused: acknowledging it would lose it, and a peer that
+    lists the upstream would keep it in use.
     """
 
     def __init__(self, settings: AnnouncementSettings, feed_id: int, now: Instant) -> None:
@@ -161,6 +163,8 @@
         content = event.content
         if isinstance(content, LeaveNotice):
             outcome, changed = self.table.record_leave(content)
+            if outcome is AnnouncementOutcome.UNKNOWN and not self.is_complete:
+                outcome = AnnouncementOutcome.NOT_YET_KNOWN
         else:
             outcome, changed = self.table.record_announcement(content, now)
         entry = self.table.entries.get(content.upstream)
--- a/chicorypost/announcements/tests/test_dissemination.py
+++ b/chicorypost/announcements/tests/test_dissemination.py
@@ -3,7 +3,12 @@
 import msgspec
 import pytest
 
-from chicorypost.announcements import AnnouncedStatus, LeaveNotice, PeerConnected
+from chicorypost.announcements import (
+    AnnouncedStatus,
+    AnnouncementOutcome,
+    LeaveNotice,
+    PeerConnected,
+)
 from chicorypost.announcements.tests.network import SETTINGS, Network
 from chicorypost.announcements.tests.test_table import ARCHIVE, ORDERS, announce
 from chicorypost.base import UpstreamId
@@ -55,6 +60,27 @@
     assert network.visible_upstreams[ORDERS].announcement.status is AnnouncedStatus.DRAINING
 
 
+def test_an_instance_that_just_started_refuses_a_leave_notice_of_an_unknown_upstream(network):
+    """Report: after a restart of one process, a server that had left was in use again.
+
+    The instance acknowledged the notice and forgot it, and a peer still listed the upstream.
+    """
+    network.announce("c2", ready(1))
+    network.stop("c1")
+    network.cut_links |= {("c1", "c2"), ("c2", "c1"), ("c1", "c3"), ("c3", "c1")}
+    network.start("c1", 9)
+    network.announce("c1", LeaveNotice(ORDERS, 1000, 2), "leave")
+    assert network.completed_calls[-1] == ("leave", AnnouncementOutcome.NOT_YET_KNOWN)
+    network.announce("c2", LeaveNotice(ORDERS, 1000, 2), "leave again")
+    assert network.visible_upstreams[ORDERS].announcement.status is AnnouncedStatus.GONE
+
+
+def test_a_complete_instance_acknowledges_a_leave_notice_of_an_unknown_upstream(network):
+    network.run(SETTINGS.silent_seconds + 0.5)
+    network.announce("c1", LeaveNotice(ORDERS, 1000, 2), "leave")
+    assert network.completed_calls[-1] == ("leave", AnnouncementOutcome.UNKNOWN)
+
+
 def test_a_peer_fetches_a_drain_that_was_lost_in_transit(network):
     network.announce("c1", ready(1))
     network.cut_links |= {("c1", "c2"), ("c1", "balancer")}
--- a/chicorypost/daemons/_balancer.py
+++ b/chicorypost/daemons/_balancer.py
@@ -1,6 +1,5 @@
 """The balancer process: listeners, state machines and graceful stop."""
 
-import functools
 import random
 import socket
 import time
@@ -232,10 +231,7 @@
             self.emit(STARTED.emit(role="balancer", version=__version__))
             self.exchanges.nursery = nursery
             for name, server in self.servers.items():
-                serve = functools.partial(
-                    trio.serve_listeners, server.serve_connection, [self.listeners[name]]
-                )
-                nursery.start_soon(serve)
+                nursery.start_soon(server.serve, [self.listeners[name]])
             nursery.start_soon(self.packet_forwarder.run)
             nursery.start_soon(self.engine.run_timer)
             nursery.start_soon(self._poll_environment)
@@ -264,9 +260,10 @@
         """Refuse new work, complete running work, hand over and leave the view."""
         # The network fabric needs time to notice that this instance is not ready any more.
         await trio.sleep(self.settings.stop_notice_seconds)
-        self.servers["requests"].stop()
-        self.engine.post(Drain())
-        while self.servers["requests"].requests_in_progress or not self.machines.may_leave:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.servers["requests"].drain)
+            self.engine.post(Drain())
+        while not self.machines.may_leave:
             await trio.sleep(DRAIN_POLL_SECONDS)
         self.engine.post(Leave())
         # Without a majority that agrees on a new view, the lease still expires.
--- a/chicorypost/daemons/_control.py
+++ b/chicorypost/daemons/_control.py
@@ -1,7 +1,6 @@
 """The control process: replicated log, configuration and the operators' listener."""
 
 import dataclasses
-import functools
 import random
 import time
 from typing import Any
@@ -193,21 +192,15 @@
             await nursery.start(self.network.run, self.listeners["control"])
             self.emit(STARTED.emit(role="control", version=__version__))
             for name, server in self.servers.items():
-                listeners = [self.listeners[name]]
-                nursery.start_soon(
-                    functools.partial(trio.serve_listeners, server.serve_connection, listeners)
-                )
+                nursery.start_soon(server.serve, [self.listeners[name]])
             self.engine.refresh_deadlines()
             nursery.start_soon(self.engine.run_timer)
         cut_requests = self.servers["operators"].requests_in_progress
         self.emit(STOPPED.emit(cut_requests=cut_requests, graceful=self.stop_control.is_graceful))
 
     async def drain(self) -> None:
-        """Refuse new operator requests and wait until the running ones have completed."""
-        server = self.servers["operators"]
-        server.stop()
-        while server.requests_in_progress:
-            await trio.sleep(0.05)
+        """Answer the operator requests that have been accepted, then stop accepting."""
+        await self.servers["operators"].drain()
 
 
 async def open_control(settings: ControlSettings) -> ControlDaemon | StorageDamage:
--- a/chicorypost/daemons/_dispatch.py
+++ b/chicorypost/daemons/_dispatch.py
@@ -18,7 +18,12 @@
     Tick,
     message_types,
 )
+from chicorypost.daemons._events import MESSAGE_UNEXPECTED
 from chicorypost.events import Emit
+from chicorypost.transport._events import UNEXPECTED_ERROR
+
+ERROR_PAUSE_SECONDS = 0.5
+"""Pause before the next `Tick` of a machine that failed, so that it can't occupy the process."""
 
 
 class Registration(msgspec.Struct, frozen=True):
@@ -34,12 +39,16 @@
         Types of the messages that it receives.
     events : tuple of event types
         Types of the other events that it receives.
+    isolates_errors : bool, default False
+        Whether an unexpected error of the machine costs only the event that caused it. For machines
+        whose state is soft, since that event may be handled in part; others stop the process.
     """
 
     name: str
     machine: StateMachine
     messages: tuple[type[Message], ...] = ()
     events: tuple[type[Event], ...] = ()
+    isolates_errors: bool = False
 
     def accepts(self, event: Event) -> bool:
         """Return whether the machine receives the event."""
@@ -128,16 +137,32 @@
         """Called after the deadlines may have changed; a subclass reschedules its wake-up here."""
 
     def _deliver_event(self, event: Event) -> None:
+        is_accepted = False
         for registration in self.registrations:
             if registration.accepts(event):
+                is_accepted = True
                 self._handle_event(registration, event)
+        if isinstance(event, Received) and not is_accepted:
+            message = type(event.message).__name__
+            self.emit(MESSAGE_UNEXPECTED.emit(peer=event.sender, message=message))
 
     def _handle_event(self, registration: Registration, event: Event) -> None:
-        effects = registration.machine.handle(event, self.now())
+        try:
+            effects = registration.machine.handle(event, self.now())
+        except Exception as error:
+            if not registration.isolates_errors:
+                raise
+            self._report_error(registration, event, error)
+            return
         # Handling an event can change the deadline of this machine only.
         self.deadlines[registration.name] = registration.machine.next_deadline()
         self.execute_effects(effects)
 
+    def _report_error(self, registration: Registration, event: Event, error: Exception) -> None:
+        self.deadlines[registration.name] = Instant(self.now() + ERROR_PAUSE_SECONDS)
+        where = f"{registration.name}: {type(event).__name__}"
+        self.emit(UNEXPECTED_ERROR.emit(where=where, error=f"{error!r:.200}"))
+
     def _execute_effect(self, effect: Effect) -> None:
         match effect:
             case Send(to=to, message=message):
--- a/chicorypost/daemons/_events.py
+++ b/chicorypost/daemons/_events.py
@@ -21,6 +21,14 @@
     "cut_requests",
     "graceful",
 )
+MESSAGE_UNEXPECTED = define_event(
+    4,
+    "message-unexpected",
+    Level.WARNING,
+    "An instance sent a message of a type that this process doesn't take; it was ignored.",
+    "peer",
+    "message",
+)
 PACKET_SOCKET_ERROR = define_event(
     5,
     "packet-socket-error",
--- a/chicorypost/platform/_announcements.py
+++ b/chicorypost/platform/_announcements.py
@@ -1,36 +1,44 @@
 """Decoding of the calls by which upstreams announce themselves and leave."""
 
+from typing import Annotated
+
 import msgspec
 
 from chicorypost.announcements import AnnouncedStatus, Announcement, LeaveNotice
 from chicorypost.base import DataCentreId, ServiceId, UpstreamId
-from chicorypost.platform._settings import read_endpoint
+from chicorypost.platform._settings import MAX_INTEGER, MAX_NAME_CHARACTERS, read_endpoint
 
 MAX_SLOTS = 1_000_000
 MAX_TOKEN = 2**64 - 1
+MAX_WARMUP_MS = 86_400_000
+"""One day."""
 
 _HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
 _STATUS_BY_STATE = {"ready": AnnouncedStatus.READY, "draining": AnnouncedStatus.DRAINING}
 
 
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_CHARACTERS)]
+Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+
+
 class _AnnouncementBody(msgspec.Struct):
     """Body of an announcement."""
 
-    service: str
+    service: Name
     address: str
-    zone: str  # data centre
+    zone: Name  # data centre
     max_concurrency: int  # slots: requests that the upstream runs at a time
     state: str  # a key of _STATUS_BY_STATE
-    seq: int  # number of the announcement within one run of the upstream
-    born: int  # start time of the upstream's process, in milliseconds since the Unix epoch
+    seq: Number  # number of the announcement within one run of the upstream
+    born: Number  # start time of the upstream's process, in milliseconds since the Unix epoch
     warmup_left_ms: float = 0.0  # time until the upstream has warmed up
 
 
 class _LeaveBody(msgspec.Struct):
     """Body of a leave call; the fields are as in `_AnnouncementBody`."""
 
-    seq: int | None = None
-    born: int | None = None
+    seq: Number | None = None
+    born: Number | None = None
 
 
 class InvalidAnnouncement(msgspec.Struct, frozen=True):
@@ -63,9 +71,7 @@
     status = _STATUS_BY_STATE.get(fields.state)
     if status is None:
         return InvalidAnnouncement(f"unknown state: {fields.state!r:.60}")
-    if not fields.service or not fields.zone:
-        return InvalidAnnouncement("service or zone is empty")
-    if not 0 < fields.max_concurrency <= MAX_SLOTS or fields.seq < 0 or fields.born < 0:
+    if not 0 < fields.max_concurrency <= MAX_SLOTS or fields.warmup_left_ms > MAX_WARMUP_MS:
         return InvalidAnnouncement("a number is out of range")
     return Announcement(
         upstream=UpstreamId(upstream_name),
@@ -101,6 +107,11 @@
         If the hex digits of the name don't give a number from 1 to `MAX_TOKEN`.
     """
     digits = "".join(letter for letter in upstream_name if letter in _HEX_DIGITS)
-    if not digits or int(digits, 16) > MAX_TOKEN or not int(digits, 16):
+    if (
+        len(upstream_name) > MAX_NAME_CHARACTERS
+        or not digits
+        or int(digits, 16) > MAX_TOKEN
+        or not int(digits, 16)
+    ):
         raise ValueError(f"the name holds no number of 64 bits: {upstream_name!r:.60}")
     return int(digits, 16)
--- a/chicorypost/platform/_configuration.py
+++ b/chicorypost/platform/_configuration.py
@@ -1,10 +1,12 @@
 """Decoding of the configuration that operators send."""
 
+from typing import Annotated
+
 import msgspec
 
 from chicorypost.base import ServiceId, Version
 from chicorypost.platform._packets import make_address
-from chicorypost.platform._settings import read_endpoint
+from chicorypost.platform._settings import MAX_INTEGER, MAX_NAME_CHARACTERS, read_endpoint
 from chicorypost.routing import (
     InvalidRouting,
     Retryability,
@@ -24,35 +26,39 @@
 """Requests of any other type may run once at most."""
 
 
+Number = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
+Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARACTERS)]
+
+
 class _SplitTarget(msgspec.Struct):
-    service: str
-    weight: int
+    service: Name
+    weight: Number
 
 
 class _Route(msgspec.Struct):
-    name: str
+    name: Name
     host: str  # virtual IPv4 address that clients connect to
     path_prefix: str  # port that clients connect to, between slashes; not a path
     route_type: str  # kind of the requests that the flows carry
-    timeout_ms: int
-    service: str | None = None
+    timeout_ms: Number
+    service: Name | None = None
     split: list[_SplitTarget] | None = None
-    target_latency_ms: int = 0
-    priority: int = 0
+    target_latency_ms: Number = 0
+    priority: Number = 0
 
 
 class _Service(msgspec.Struct):
-    name: str
+    name: Name
     health_path: str = ""
-    max_conns: int = 0
+    max_conns: Number = 0
 
 
 class _Limits(msgspec.Struct):
-    idle_timeout_ms: int = 15_000
+    idle_timeout_ms: Number = 15_000
 
 
 class _Document(msgspec.Struct):
-    version: int
+    version: Number
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
--- a/chicorypost/platform/_settings.py
+++ b/chicorypost/platform/_settings.py
@@ -6,6 +6,10 @@
 
 from chicorypost.base import DataCentreId, Endpoint, InstanceId
 
+MAX_INTEGER = 2**63 - 1
+"""Largest integer that all codecs between the processes can carry."""
+MAX_NAME_CHARACTERS = 255
+"""Longest name of a service, data centre or upstream."""
 BYTES_PER_MEGABIT = 125_000.0
 SETTINGS_VARIABLE = "CHICORYPOST_NODE_FILE"
 """Environment variable with the path of the settings file."""
@@ -149,7 +153,7 @@
             stop_seconds=file.bounds.grace_s,
             link_bytes_per_second=file.limits.link_mbps * BYTES_PER_MEGABIT or None,
         )
-    except (msgspec.DecodeError, msgspec.ValidationError, ValueError) as error:
+    except (msgspec.DecodeError, msgspec.ValidationError, ValueError, OverflowError) as error:
         return InvalidNodeSettings(str(error))
 
 
--- a/chicorypost/platform/tests/test_readers.py
+++ b/chicorypost/platform/tests/test_readers.py
@@ -8,8 +8,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from chicorypost.announcements import AnnouncedStatus, Announcement, LeaveNotice
-from chicorypost.base import Endpoint, UpstreamId, Version
+from chicorypost.announcements import (
+    AnnouncedStatus,
+    Announcement,
+    AnnouncementTableReply,
+    LeaveNotice,
+    ListedUpstream,
+)
+from chicorypost.base import Endpoint, UpstreamId, Version, encode
 from chicorypost.cookies import CookiePacket
 from chicorypost.platform import (
     InvalidAnnouncement,
@@ -222,6 +228,31 @@
     assert isinstance(read_leave_notice("i-1", b"{"), InvalidAnnouncement)
 
 
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"seq": 2**64},
+        {"born": 2**70},
+        {"warmup_left_ms": 1e300},
+        {"service": "x" * 300},
+        {"zone": "x" * 300},
+    ],
+)
+def test_number_or_name_that_no_message_can_carry_is_invalid(fields):
+    """A control instance ended when it sent such an announcement on to its peers."""
+    body = encode_changed(ANNOUNCEMENT, **fields)
+    assert isinstance(read_announcement("i-1", body), InvalidAnnouncement)
+    if "seq" in fields or "born" in fields:
+        assert isinstance(read_leave_notice("i-1", body), InvalidAnnouncement)
+
+
+@given(st.sampled_from(["seq", "born", "max_concurrency", "warmup_left_ms"]), st.integers())
+def test_every_announcement_can_be_sent_to_other_instances(field, value):
+    read = read_announcement("i-1", encode_changed(ANNOUNCEMENT, **{field: value}))
+    if isinstance(read, Announcement):
+        encode(AnnouncementTableReply(True, (ListedUpstream(read, False, 0),)))
+
+
 @given(st.binary(max_size=60) | ANY_JSON.map(lambda value: json.dumps(value).encode()))
 def test_any_body_is_an_announcement_or_invalid(body):
     assert isinstance(read_announcement("i-1", body), Announcement | InvalidAnnouncement)
@@ -274,6 +305,9 @@
         encode_with_route(service="unknown"),
         encode_with_route(timeout_ms=0),
         encode_with_route(timeout_ms=-5),
+        encode_with_route(timeout_ms=2**70),
+        encode_changed(CONFIGURATION, version=2**70),
+        encode_changed(CONFIGURATION, limits={"idle_timeout_ms": 10**400}),
         encode_with_route(route_type=None),
         encode_with_route(route_type=7),
         encode_with_route(host="example"),
@@ -333,6 +367,11 @@
     assert isinstance(read_node_settings(data), NodeSettings | InvalidNodeSettings)
 
 
+def test_settings_with_a_number_out_of_range_are_invalid():
+    body = encode_changed(SETTINGS, heartbeat_interval_ms=10**400)
+    assert isinstance(read_node_settings(body), InvalidNodeSettings)
+
+
 @given(st.sampled_from(sorted(SETTINGS)), ANY_JSON)
 def test_any_value_of_a_setting_decodes_without_an_exception(field, value):
     read = read_node_settings(encode_changed(SETTINGS, **{field: value}))
--- a/chicorypost/roles/_balancer_core.py
+++ b/chicorypost/roles/_balancer_core.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from chicorypost.announcements import (
+    VIEW_MESSAGES,
     AnnouncementSettings,
     DirectoryView,
     PeerConnected,
@@ -14,14 +15,14 @@
 )
 from chicorypost.base import Endpoint, Incarnation, InstanceId, Instant
 from chicorypost.cookies import CookieRouter, CookieSettings
-from chicorypost.daemons import EventDispatcher, Registration, message_types_in
+from chicorypost.daemons import EventDispatcher, Registration
 from chicorypost.pacing import LinkPacer, PacingSettings
 from chicorypost.platform import NodeSettings
 from chicorypost.roles._event_log import EventLog
 from chicorypost.roles._forwarding import Forwarder
 from chicorypost.transport import NOT_LISTENING_PORT, ConnectionHello, open_packet_socket
+from chicorypost.transport._events import UNEXPECTED_ERROR
 
-FEED_MESSAGE_TAGS = range(811, 900)
 SOCKET_BUFFER_BYTES = 512 * 1024
 
 
@@ -61,16 +62,19 @@
     def register_state_machines(self, dispatcher: EventDispatcher) -> None:
         """Register the state machines with a dispatcher."""
         events = (PeerConnected, PeerDisconnected, SeedsChanged)
-        dispatcher.register(
-            Registration("view", self.view, message_types_in(FEED_MESSAGE_TAGS), events)
-        )
-        dispatcher.register(
-            Registration("flows", self.router, (), (RoutingApplied, VisibleUpstreamsChanged))
-        )
+        dispatcher.register(Registration("view", self.view, VIEW_MESSAGES, events, True))
+        flow_events = (RoutingApplied, VisibleUpstreamsChanged)
+        dispatcher.register(Registration("flows", self.router, (), flow_events, True))
 
     def forward_batch(self, dispatcher: EventDispatcher) -> None:
-        """Forward waiting packets and execute the effects of the router."""
-        self.forwarder.forward_batch(dispatcher.now())
+        """Forward waiting packets and execute the effects of the router.
+
+        An unexpected error costs the packet that caused it; those behind it are in the next batch.
+        """
+        try:
+            self.forwarder.forward_batch(dispatcher.now())
+        except Exception as error:
+            self.event_log.emit(UNEXPECTED_ERROR.emit(where="packet", error=f"{error!r:.200}"))
         if self.router.effects:
             dispatcher.execute_effects(self.router.pop_effects())
 
--- a/chicorypost/roles/_control.py
+++ b/chicorypost/roles/_control.py
@@ -11,6 +11,7 @@
 
 from chicorypost import __version__
 from chicorypost.announcements import (
+    REGISTRY_MESSAGES,
     AnnouncementRegistry,
     AnnouncementSettings,
     PeerConnected,
@@ -48,16 +49,20 @@
 from chicorypost.roles._announcement_table_file import AnnouncementTableFile
 from chicorypost.roles._control_calls import ControlCallHandler
 from chicorypost.roles._event_log import EventLog
-from chicorypost.roles._events import MEMBERSHIP_REPAIR, ROUTING_APPLIED
+from chicorypost.roles._events import MEMBERSHIP_REPAIR, ROUTING_APPLIED, ROUTING_UNREADABLE
 from chicorypost.roles._pending_outcomes import PendingOutcomes
 from chicorypost.roles._process import make_peer_network
-from chicorypost.roles._replica_host import REPLICA_HOST_EVENTS, DiskWriter, ReplicaHost
+from chicorypost.roles._replica_host import (
+    REPLICA_HOST_EVENTS,
+    DiskWriter,
+    RecoverReplica,
+    ReplicaHost,
+)
 from chicorypost.roles._settings_file import watch_settings
 from chicorypost.routing import RoutingState
 from chicorypost.transport import ConnectionHello, HttpServer, HttpSettings
 
 CONSENSUS_MESSAGE_TAGS = range(100, 200)
-ANNOUNCEMENT_MESSAGE_TAGS = range(800, 900)
 
 LOG_FOLDER = "log"
 TABLE_FILE = "announcements"
@@ -134,8 +139,9 @@
             VersionApplied,
             TableRestored,
         )
-        messages = message_types_in(ANNOUNCEMENT_MESSAGE_TAGS)
-        self.engine.register(Registration("announcements", self.registry, messages, events))
+        self.engine.register(
+            Registration("announcements", self.registry, REGISTRY_MESSAGES, events, True)
+        )
 
     def _make_http_server(self) -> HttpServer:
         http = HttpSettings(body_bytes=MAX_DOCUMENT_BYTES)
@@ -151,12 +157,12 @@
         match effect:
             case Persist():
                 self.disk_writer.queue_write(effect)
+            case RecoverReplica():
+                self.disk_writer.request_recovery()
             case Apply(command=command):
-                if self.routing_state.apply(command):
-                    self._publish_version()
+                self._publish_version(self.routing_state.apply(command))
             case RestoreSnapshot(data=data):
-                if self.routing_state.restore(data):
-                    self._publish_version()
+                self._publish_version(self.routing_state.restore(data))
             case TakeSnapshot(index=index):
                 self.engine.post(SnapshotTaken(index, self.routing_state.snapshot()))
             case ProposalAccepted(proposal_id=request_id) | ProposalRefused(proposal_id=request_id):
@@ -172,10 +178,14 @@
             case _:
                 raise AssertionError(f"unexpected effect: {effect!r}")
 
-    def _publish_version(self) -> None:
-        assert self.routing_state.document is not None
-        self.event_log.emit(ROUTING_APPLIED.emit(version=self.routing_state.version))
-        self.engine.post(VersionApplied(self.routing_state.document))
+    def _publish_version(self, has_changed: bool) -> None:
+        state = self.routing_state
+        if state.unreadable is not None:
+            detail = state.unreadable.detail
+            self.event_log.emit(ROUTING_UNREADABLE.emit(version=state.version, reason=detail))
+        elif has_changed and state.document is not None:
+            self.event_log.emit(ROUTING_APPLIED.emit(version=state.version))
+            self.engine.post(VersionApplied(state.document))
 
     def dump(self) -> dict[str, Any]:
         """Return the state of all state machines of this process."""
@@ -220,8 +230,7 @@
             call_listeners = await trio.open_tcp_listeners(
                 settings.control.port, host=settings.host
             )
-            serve = partial(trio.serve_listeners, self.http_server.serve_connection, call_listeners)
-            nursery.start_soon(serve)
+            nursery.start_soon(self.http_server.serve, call_listeners)
             nursery.start_soon(self.disk_writer.run)
             nursery.start_soon(self.table_file.run)
             nursery.start_soon(self._repair_membership)
@@ -271,10 +280,8 @@
         self.engine.post(PeersChanged(others, controls))
 
     async def _drain(self) -> None:
-        """Stop accepting calls and wait for those in progress."""
-        self.http_server.stop()
-        while self.http_server.requests_in_progress:
-            await trio.sleep(0.02)
+        """Answer the calls that have been accepted, then stop accepting."""
+        await self.http_server.drain()
 
 
 def _replica_settings(settings: NodeSettings) -> ReplicaSettings:
--- a/chicorypost/roles/_control_calls.py
+++ b/chicorypost/roles/_control_calls.py
@@ -6,6 +6,7 @@
 
 from chicorypost.announcements import (
     Announcement,
+    AnnouncementOutcome,
     LeaveNotice,
     UpstreamCallCompleted,
     UpstreamCallReceived,
@@ -117,6 +118,8 @@
         )
         if not isinstance(outcome, UpstreamCallCompleted):
             return make_unavailable_response("other control instances don't answer")
+        if outcome.outcome is AnnouncementOutcome.NOT_YET_KNOWN:
+            return make_unavailable_response("this instance doesn't know all upstreams yet")
         return make_ok_response()
 
     def _find_refusal_reason(
--- a/chicorypost/roles/_events.py
+++ b/chicorypost/roles/_events.py
@@ -62,6 +62,21 @@
     "The data folder was recovered and the replica is running.",
     "generation",
 )
+REPLICA_FAILED = define_event(
+    55,
+    "replica-failed",
+    Level.ERROR,
+    "A defect or a broken invariant stopped the replica; it restarts from its data folder.",
+    "reason",
+)
+ROUTING_UNREADABLE = define_event(
+    56,
+    "routing-unreadable",
+    Level.ERROR,
+    "This build can't read the newest configuration of the log; the previous one stays in force.",
+    "version",
+    "reason",
+)
 MEMBERSHIP_REPAIR = define_event(
     49,
     "membership-repair",
--- a/chicorypost/roles/_replica_host.py
+++ b/chicorypost/roles/_replica_host.py
@@ -1,4 +1,4 @@
-"""Replica whose disk may fail: it stops on a failure and restarts when the disk works again."""
+"""Replica that may fail: it stops on a failure and restarts from what is on its disk."""
 
 from collections import deque
 from collections.abc import Callable
@@ -29,7 +29,7 @@
 )
 from chicorypost.daemons import Engine
 from chicorypost.events import Emit
-from chicorypost.roles._events import DISK_FAILED, DISK_RECOVERED
+from chicorypost.roles._events import DISK_FAILED, DISK_RECOVERED, REPLICA_FAILED
 
 DISK_RETRY_SECONDS = 0.5
 """Pause before a failed disk is tried again."""
@@ -47,9 +47,16 @@
     reason: str
 
 
+class RecoverReplica(Effect, msgspec.Struct, frozen=True):
+    """Recover the data folder: the replica has failed, and only what is synced can be trusted."""
+
+
 class ReplicaHost:
     """Passes events to the replica; refuses proposals and reads while no replica is running.
 
+    An unexpected error or a broken invariant ends the replica, not the process: the effects of the
+    failed event are dropped as in a crash, and the replica restarts from its data folder.
+
     Parameters
     ----------
     settings : ReplicaSettings
@@ -69,6 +76,14 @@
 
     def handle(self, event: Event, now: Instant) -> list[Effect]:
         """Handle one event and return the effects in the order of execution."""
+        try:
+            return self._handle(event, now)
+        except Exception as error:
+            self.replica = None
+            reason = f"{type(event).__name__}: {error!r:.200}"
+            return [REPLICA_FAILED.emit(reason=reason), RecoverReplica()]
+
+    def _handle(self, event: Event, now: Instant) -> list[Effect]:
         match event:
             case DiskRecovered(recovered_state):
                 self.replica = Replica(
@@ -129,6 +144,7 @@
         self.engine = engine
         self.emit = emit
         self.storage: ReplicaStorage | None = None
+        self.is_recovery_requested = False
         self.write_queue: deque[Persist] = deque()
         self.work_available = trio.Event()
 
@@ -137,6 +153,11 @@
         self.write_queue.append(persist)
         self.work_available.set()
 
+    def request_recovery(self) -> None:
+        """Recover the data folder again once the write in progress has ended."""
+        self.is_recovery_requested = True
+        self.work_available.set()
+
     async def run(self) -> None:
         """Recover the data folder and process writes until cancelled; retry after each failure."""
         last_error = ""
@@ -149,13 +170,16 @@
                     raise OSError(f"{recovered.kind.value}: {recovered.file}: {recovered.detail}")
                 last_error = ""
                 self.write_queue.clear()
+                self.is_recovery_requested = False
                 self.emit(DISK_RECOVERED.emit(generation=recovered.generation))
                 self.engine.post(DiskRecovered(recovered))
                 await self._process_writes()
-            except OSError as error:
-                if str(error) != last_error:
-                    self.emit(DISK_FAILED.emit(reason=str(error)))
-                last_error = str(error)
+            except Exception as error:
+                # Any error counts as a failed disk: what was written isn't known.
+                reason = str(error) if isinstance(error, OSError) else repr(error)
+                if reason != last_error:
+                    self.emit(DISK_FAILED.emit(reason=reason))
+                last_error = reason
                 self.engine.post(DiskFailed(last_error))
             await trio.sleep(DISK_RETRY_SECONDS)
 
@@ -165,10 +189,13 @@
         return self.storage.recover()
 
     async def _process_writes(self) -> None:
+        """Process writes until a recovery is requested."""
         while True:
             self.work_available = trio.Event()
-            if not self.write_queue:
+            if not self.write_queue and not self.is_recovery_requested:
                 await self.work_available.wait()
+            if self.is_recovery_requested:
+                return
             batch = list(self.write_queue)
             self.write_queue.clear()
             await trio.to_thread.run_sync(self._write_batch, batch, abandon_on_cancel=True)
--- a/chicorypost/roles/tests/test_disks_in_turn.py
+++ b/chicorypost/roles/tests/test_disks_in_turn.py
@@ -89,6 +89,10 @@
             case ProposalAccepted(proposal_id=proposal_id):
                 self.accepted.add(proposal_id)
 
+    @property
+    def term(self):
+        return self.host.replica.term if self.host.replica is not None else 0
+
     def is_leading(self):
         return self.host.replica is not None and self.host.replica.role is ReplicaRole.LEADER
 
@@ -114,7 +118,7 @@
 
     def leader(self):
         leaders = [item for item in self.instances.values() if item.is_leading()]
-        return max(leaders, key=lambda item: item.host.replica.term, default=None)
+        return max(leaders, key=lambda item: item.term, default=None)
 
     async def change(self, timeout_seconds):
         """Send a change as an operator does, until it is accepted; return whether it was."""
--- a/chicorypost/roles/tests/test_replica_host.py
+++ b/chicorypost/roles/tests/test_replica_host.py
@@ -21,7 +21,12 @@
 )
 from chicorypost.consensus.tests.fakes import CrashingFileSystem
 from chicorypost.daemons import Engine, Registration
-from chicorypost.roles._replica_host import REPLICA_HOST_EVENTS, DiskWriter, ReplicaHost
+from chicorypost.roles._replica_host import (
+    REPLICA_HOST_EVENTS,
+    DiskWriter,
+    RecoverReplica,
+    ReplicaHost,
+)
 
 INSTANCE = InstanceId("10.0.0.1:80")
 
@@ -54,6 +59,8 @@
     def execute(self, effect):
         if isinstance(effect, Persist):
             self.writer.queue_write(effect)
+        elif isinstance(effect, RecoverReplica):
+            self.writer.request_recovery()
         else:
             self.effects.append(effect)
 
@@ -138,3 +145,28 @@
         await instance.wait_until(instance.is_leading)
 
     run(instance, scenario)
+
+
+@pytest.mark.parametrize("error", [AssertionError("a committed entry"), KeyError("x")])
+def test_broken_invariant_restarts_the_replica_from_its_disk(instance, monkeypatch, error):
+    """Report: one unexpected error took a whole process down, with every other task in it."""
+
+    def fail(event, now):
+        raise error
+
+    async def scenario():
+        await instance.wait_until(instance.is_leading)
+        instance.engine.post(Propose("p", b"kept"))
+        replica = instance.host.replica
+        await instance.wait_until(lambda: replica.applied_index >= replica.commit_index > 1)
+        monkeypatch.setattr(replica, "handle", fail)
+        instance.engine.post(Propose("q", b"refused"))
+        assert instance.host.replica is None
+        await instance.wait_until(instance.is_leading)
+        assert "replica-failed" in instance.event_names()
+        recovered = instance.host.replica
+        assert recovered is not None
+        commands = [entry.command for entry in recovered.core.log.entries]
+        assert b"kept" in commands and b"refused" not in commands
+
+    run(instance, scenario)
--- a/chicorypost/routing/_state.py
+++ b/chicorypost/routing/_state.py
@@ -30,6 +30,8 @@
         self.read = read
         self.stored = StoredConfiguration(NO_VERSION, b"")
         self.document: RoutingDocument | None = None
+        self.unreadable: InvalidRouting | None = None
+        """Why the stored configuration can't be read; None if `document` is the stored one."""
 
     @property
     def version(self) -> Version:
@@ -37,9 +39,10 @@
         return self.stored.version
 
     def apply(self, command: bytes) -> bool:
-        """Apply a committed command; return whether it changed the configuration.
+        """Apply a committed command; return whether it changed the configuration in force.
 
         A command whose version isn't higher than the applied one is ignored, whatever its content.
+        A configuration that this build can't read is stored and isn't put in force.
         """
         return self._apply_if_newer(unpack_record(command, StoredConfiguration))
 
@@ -54,12 +57,13 @@
     def _apply_if_newer(self, stored: StoredConfiguration) -> bool:
         if stored.version <= self.version:
             return False
-        document = self.read(stored.original)
-        assert isinstance(
-            document, RoutingDocument
-        ), f"the log contains an invalid document: {document}"
         self.stored = stored
-        self.document = document
+        document = self.read(stored.original)
+        if isinstance(document, InvalidRouting):
+            # Another build has accepted it; the previous document stays in force here.
+            self.unreadable = document
+            return False
+        self.document, self.unreadable = document, None
         return True
 
 
--- a/chicorypost/transport/_events.py
+++ b/chicorypost/transport/_events.py
@@ -51,6 +51,14 @@
     "certificate",
     "reason",
 )
+UNEXPECTED_ERROR = define_event(
+    708,
+    "unexpected-error",
+    Level.ERROR,
+    "A defect ended the handling of one request, message or packet; the process goes on.",
+    "where",
+    "error",
+)
 CONNECTIONS_FULL = define_event(
     707,
     "connections-full",
--- a/chicorypost/transport/_http.py
+++ b/chicorypost/transport/_http.py
@@ -1,18 +1,19 @@
 """HTTP/1.1 server based on `h11`: handlers receive and return complete messages."""
 
 from collections.abc import Awaitable, Callable
-from urllib.parse import parse_qs, urlsplit
+from urllib.parse import SplitResult, parse_qs, urlsplit
 
 import h11
 import msgspec
 import trio
 
 from chicorypost.events import Emit
-from chicorypost.transport._events import CONNECTIONS_FULL, HTTP_REFUSED
+from chicorypost.transport._events import CONNECTIONS_FULL, HTTP_REFUSED, UNEXPECTED_ERROR
 from chicorypost.transport._settings import HttpSettings
 from chicorypost.transport._tls import TlsContexts, certificate_names
 
 RECEIVE_BYTES = 64 * 1024
+DRAIN_POLL_SECONDS = 0.02
 
 
 class HttpServerRequest(msgspec.Struct, frozen=True):
@@ -31,13 +32,13 @@
 
     @property
     def path(self) -> str:
-        """The request target without its query."""
-        return urlsplit(self.target).path
+        """The request target without its query; empty if the target isn't a valid URL."""
+        return _split_target(self.target).path
 
     @property
     def query(self) -> dict[str, str]:
         """The last value of each query parameter."""
-        parsed = parse_qs(urlsplit(self.target).query, keep_blank_values=True)
+        parsed = parse_qs(_split_target(self.target).query, keep_blank_values=True)
         return {name: values[-1] for name, values in parsed.items()}
 
 
@@ -87,8 +88,26 @@
     open_connections: int = 0
     requests_in_progress: int = 0
     refused_requests: int = 0
+    failed_requests: int = 0
     is_stopping: bool = False
     idle_scopes: set[trio.CancelScope] = msgspec.field(default_factory=set)
+    accept_scope: trio.CancelScope = msgspec.field(default_factory=trio.CancelScope)
+
+    async def serve(self, listeners: list[trio.SocketListener]) -> None:
+        """Accept and serve connections until cancelled; return at the end of `drain`."""
+        async with trio.open_nursery() as nursery:
+            with self.accept_scope:
+                await trio.serve_listeners(
+                    self.serve_connection, listeners, handler_nursery=nursery
+                )
+
+    async def drain(self) -> None:
+        """Stop, close the listeners after `linger_seconds`, and wait for the last response."""
+        self.stop()
+        await trio.sleep(self.settings.linger_seconds)
+        self.accept_scope.cancel()
+        while self.open_connections:
+            await trio.sleep(DRAIN_POLL_SECONDS)
 
     async def serve_connection(self, stream: trio.abc.Stream) -> None:
         """Serve one connection until it is closed; a handler for `trio.serve_listeners`."""
@@ -103,15 +122,27 @@
                 await self._serve_requests(served_stream)
         except* (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
             pass
+        except* AssertionError:
+            raise
+        except* Exception as errors:
+            self._report_error("connection", errors.exceptions[0])
         finally:
             self.open_connections -= 1
             await trio.aclose_forcefully(stream)
 
     def stop(self) -> None:
-        """Close idle connections now and every other connection after its response."""
+        """Close every connection after its response, idle ones after `linger_seconds`.
+
+        Connections that are accepted afterwards are served in the same way.
+        """
         self.is_stopping = True
         for scope in self.idle_scopes:
-            scope.cancel()
+            scope.deadline = min(scope.deadline, self._idle_deadline())
+
+    def _idle_deadline(self) -> float:
+        settings = self.settings
+        seconds = settings.linger_seconds if self.is_stopping else settings.idle_seconds
+        return trio.current_time() + seconds
 
     async def _accept_tls(self, stream: trio.abc.Stream) -> trio.abc.Stream | None:
         """Return the stream to serve, or None if the handshake or the certificate is rejected."""
@@ -138,7 +169,7 @@
         connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self.settings.header_bytes
         )
-        while not self.is_stopping:
+        while True:
             request = await self._read_request(connection, stream)
             if request is None:
                 return
@@ -160,7 +191,7 @@
         return _RequestRefusal(408, "the request was not complete in time")
 
     async def _wait_for_bytes(self, connection: h11.Connection, stream: trio.abc.Stream) -> bool:
-        with trio.move_on_after(self.settings.idle_seconds) as idle_scope:
+        with trio.move_on_at(self._idle_deadline()) as idle_scope:
             self.idle_scopes.add(idle_scope)
             try:
                 data = await stream.receive_some(RECEIVE_BYTES)
@@ -211,7 +242,7 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(_cancel_when_closed, stream, connection, nursery.cancel_scope)
-                response = await self.handler(request)
+                response = await self._run_handler(request)
                 nursery.cancel_scope.cancel()
             if response is None:
                 return False
@@ -219,6 +250,24 @@
         finally:
             self.requests_in_progress -= 1
 
+    async def _run_handler(self, request: HttpServerRequest) -> HttpServerResponse:
+        """Return the handler's response, or 500 after an unexpected error of the handler.
+
+        A broken invariant isn't caught: it stops the process.
+        """
+        try:
+            return await self.handler(request)
+        except AssertionError:
+            raise
+        except Exception as error:
+            self._report_error(f"{request.method} {request.target:.60}", error)
+            return HttpServerResponse(500, b"internal error\n")
+
+    def _report_error(self, where: str, error: BaseException) -> None:
+        self.failed_requests += 1
+        event = UNEXPECTED_ERROR.emit(where=f"{self.name}: {where}", error=f"{error!r:.200}")
+        self.emit(event)
+
     async def _send_response(
         self, connection: h11.Connection, stream: trio.abc.Stream, response: HttpServerResponse
     ) -> bool:
@@ -249,6 +298,13 @@
             await stream.send_all(b"".join(part or b"" for part in parts))
 
 
+def _split_target(target: str) -> SplitResult:
+    try:
+        return urlsplit(target)
+    except ValueError:
+        return SplitResult("", "", "", "", "")
+
+
 def _count_header_bytes(head: h11.Request) -> int:
     return len(head.target) + sum(len(name) + len(value) for name, value in head.headers)
 
--- a/chicorypost/transport/_peers.py
+++ b/chicorypost/transport/_peers.py
@@ -14,6 +14,7 @@
     PEER_CONNECTED,
     PEER_LOST,
     QUEUE_FULL,
+    UNEXPECTED_ERROR,
 )
 from chicorypost.transport._frame_buffer import encode_frame
 from chicorypost.transport._frames import EndOfStream, FrameReader
@@ -196,6 +197,11 @@
                 nursery.cancel_scope.cancel()
         except* (OSError, trio.BrokenResourceError, trio.ClosedResourceError) as errors:
             reason = repr(errors.exceptions[0])
+        except* AssertionError:
+            raise
+        except* Exception as errors:
+            reason = repr(errors.exceptions[0])
+            self._report_error(link.peer, errors.exceptions[0])
         return reason
 
     async def _dial(self, peer: InstanceId) -> trio.abc.Stream | None:
@@ -261,6 +267,10 @@
             await self._serve_peer(tcp)
         except* (OSError, trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError):
             pass
+        except* AssertionError:
+            raise
+        except* Exception as errors:
+            self._report_error("accepted connection", errors.exceptions[0])
         finally:
             self.accepted_connections -= 1
 
@@ -344,6 +354,9 @@
                     self.received_messages += 1
                     self.on_message(peer, message)
 
+    def _report_error(self, peer: str, error: BaseException) -> None:
+        self.emit(UNEXPECTED_ERROR.emit(where=f"peer {peer}", error=f"{error!r:.200}"))
+
     def _report_refusal(self, peer: str, reason: str) -> None:
         self.refused_connections += 1
         self.emit(FRAME_REFUSED.emit(peer=peer, reason=reason))
--- a/chicorypost/transport/_settings.py
+++ b/chicorypost/transport/_settings.py
@@ -91,6 +91,9 @@
         Timeout of receiving a complete request, of the TLS handshake and of sending a response.
     idle_seconds : float, default 60
         An open connection is closed after this time without a request.
+    linger_seconds : float, default 0.3
+        During a stop, the time after which a connection without a request is closed: requests that
+        are on their way then are still answered.
     connections : int, default 10000
         Maximum number of connections that are open at a time.
     """
@@ -101,4 +104,5 @@
     header_bytes: Annotated[int, Bound(ge=256)] = 16 * 1024
     read_seconds: Annotated[float, Bound(gt=0)] = 10.0
     idle_seconds: Annotated[float, Bound(gt=0)] = 60.0
+    linger_seconds: Annotated[float, Bound(ge=0)] = 0.3
     connections: Annotated[int, Bound(ge=1)] = 10_000
--- a/chicorypost/transport/tests/test_transport.py
+++ b/chicorypost/transport/tests/test_transport.py
@@ -332,3 +332,97 @@
 
     run(scenario)
     assert received == [TextMessage("to the newer one")]
+
+
+class NumberMessage(Message, frozen=True, array_like=True, tag=9_701):
+    """Message whose number may be too large for the codec."""
+
+    number: int
+
+
+def test_request_target_that_is_no_url_costs_one_request():
+    """A request for `http://[` ended the process that served it."""
+
+    async def run_client(endpoint, server):
+        for target in (b"http://[", b"//[", b"/p"):
+            stream = await trio.open_tcp_stream(endpoint.host, endpoint.port)
+            await stream.send_all(b"GET " + target + b" HTTP/1.1\r\nhost: x\r\n\r\n")
+            assert (await stream.receive_some()).split()[1] == b"200"
+
+    run_http_scenario(echo, run_client)
+
+
+def test_unexpected_error_of_a_handler_gives_500_and_the_listener_goes_on():
+    async def respond(request):
+        if request.path == "/defect":
+            raise OverflowError("int too large")
+        return await echo(request)
+
+    async def run_client(endpoint, server):
+        for path, status in ((b"/defect", b"500"), (b"/p", b"200")):
+            stream = await trio.open_tcp_stream(endpoint.host, endpoint.port)
+            await stream.send_all(b"GET " + path + b" HTTP/1.1\r\nhost: x\r\n\r\n")
+            assert (await stream.receive_some()).split()[1] == status
+        assert server.failed_requests == 1
+
+    run_http_scenario(respond, run_client)
+
+
+def test_message_that_cannot_be_encoded_costs_the_connection_and_not_the_process():
+    log: list[Emit] = []
+    received: list[object] = []
+
+    async def scenario(nursery):
+        finished = trio.Event()
+
+        def receive(sender, message):
+            received.append(message)
+            finished.set()
+
+        left = await start_network(nursery, "left", receive, log)
+        right = await start_network(nursery, "right", receive, log)
+        left.learn_address(InstanceId("right"), right.hello.control)
+        left.send(InstanceId("right"), NumberMessage(2**70))
+        while not any(event.spec.name == "unexpected-error" for event in log):
+            await trio.sleep(0.01)
+        left.send(InstanceId("right"), TextMessage("after"))
+        await finished.wait()
+
+    run(scenario)
+    assert received == [TextMessage("after")]
+
+
+@pytest.mark.parametrize("moment", ["sent", "accepted", "connected"])
+def test_request_that_was_just_accepted_is_answered_during_a_stop(moment):
+    """Report: a planned stop cut requests off that had just been accepted.
+
+    The bytes of the request arrive before the stop, on a connection that was idle until then, or
+    the connection is opened before the stop and the request sent right after it.
+    """
+
+    async def run_client(endpoint, server):
+        stream = await trio.open_tcp_stream(endpoint.host, endpoint.port)
+        if moment != "connected":
+            await trio.testing.wait_all_tasks_blocked(0.02)
+        request = b"GET /p HTTP/1.1\r\nhost: x\r\n\r\n"
+        if moment == "sent":
+            await stream.send_all(request)
+            server.stop()
+        else:
+            server.stop()
+            await stream.send_all(request)
+        response = await stream.receive_some()
+        assert response.split()[1] == b"200" and b"connection: close" in response.lower()
+
+    run_http_scenario(echo, run_client)
+
+
+def test_idle_connections_are_closed_soon_after_a_stop():
+    async def run_client(endpoint, server):
+        stream = await trio.open_tcp_stream(endpoint.host, endpoint.port)
+        await trio.testing.wait_all_tasks_blocked(0.02)
+        server.stop()
+        with trio.fail_after(1.0):
+            assert await stream.receive_some() == b""
+
+    run_http_scenario(echo, run_client)
