Elect the first leader of a new cluster by the first election timer; mend the soak's stand-ins

(1) Members without a cluster sent hello messages once in a full election timeout, and the timer after the bootstrap, or after a split first vote, was a full one too, so that the demo's first change came 4 to 5.7 s after the start beside other work. (2) The stand-in upstream took any acknowledgement above its first number as one of its own, the stand-in client took the cookie of a late reply to a copy of its opening, and settings files were rewritten in place. Change: until there has been a leader, a replica uses first_election_seconds for its election timer and, without a cluster, for its hello messages; the default is 0.5 s (1.5 s before). The stand-ins take only acknowledgements of their own bytes, ignore late replies to openings, and replace the file.

--- a/benchmarks/soak/processes.py
+++ b/benchmarks/soak/processes.py
@@ -52,9 +52,11 @@
         return self.process is not None and self.process.poll() is None
 
     def write_settings(self) -> None:
-        """Write the settings file."""
+        """Replace the settings file at once: a process that starts never reads half of it."""
         self.folder.mkdir(parents=True, exist_ok=True)
-        (self.folder / "node.json").write_text(json.dumps(self.settings))
+        temporary = self.folder / "node.json.new"
+        temporary.write_text(json.dumps(self.settings))
+        temporary.replace(self.folder / "node.json")
 
     def start(self) -> None:
         """Start the process and append its output to the log of earlier starts."""
--- a/benchmarks/standins/platform_client.py
+++ b/benchmarks/standins/platform_client.py
@@ -122,6 +122,9 @@
             with trio.move_on_after(pause):
                 while True:
                     packet = await packets.receive()
+                    if packet.flags & OPEN_FLAG:
+                        # A late reply to a copy of the opening; another upstream may have sent it.
+                        continue
                     flow.cookie = packet.cookie or flow.cookie
                     if packet.flags & ABORT_FLAG:
                         self.record("reset", request=name, target=target, checksum=packet.checksum)
--- a/benchmarks/standins/platform_upstream.py
+++ b/benchmarks/standins/platform_upstream.py
@@ -39,6 +39,14 @@
     next_sequence: int = 0
     responses: dict[str, tuple[int, bytes]] = field(default_factory=dict)
 
+    def is_own_acknowledgement(self, number: int) -> bool:
+        """Return whether a number acknowledges bytes of this upstream, not those of another one.
+
+        Several upstreams may have answered copies of one opening; the flow is open at the upstream
+        whose number the client acknowledges.
+        """
+        return self.first_sequence < number <= self.next_sequence
+
 
 @dataclass(slots=True)
 class StandInUpstream:
@@ -148,7 +156,7 @@
                 self._send_segment(packets, packet, ABORT_FLAG, packet.acknowledged, 0)
         elif packet.flags & (CLOSE_FLAG | ABORT_FLAG):
             del self.flows[packet.source]
-        elif packet.acknowledged >= flow.first_sequence + 1 and packet.data:
+        elif packet.data and flow.is_own_acknowledgement(packet.acknowledged):
             await self._process_request(packets, packet, flow)
 
     def _handle_opening(
--- a/chicorypost/consensus/_core.py
+++ b/chicorypost/consensus/_core.py
@@ -118,11 +118,13 @@
         # Generation of each peer, and whether its last hello named this replica's generation.
         self.unformed_peers: dict[InstanceId, tuple[str, bool]] = {}
         self.foreign_messages = 0
+        self.has_known_leader = False
+        """Whether there has been a leader since the start of this replica."""
         self.last_leader_contact = now
         self.out_of_touch_since: Instant | None = None
         self.election_deadline = now
         self.hello_deadline = now
-        self.restart_election_timer(settings.first_election_seconds)
+        self.restart_election_timer()
         self.role = self.passive_role()
 
     @property
@@ -174,13 +176,16 @@
         self.hard_state = state
         self.write_queue.hard_state = state
 
-    def restart_election_timer(self, seconds: float | None = None) -> None:
-        """Set a random election deadline, one to two times `seconds` from now.
+    def restart_election_timer(self) -> None:
+        """Set a random election deadline, one to two times the election timeout from now.
 
-        `seconds` defaults to `election_seconds`.
+        The timeout is `first_election_seconds` until there has been a leader.
         """
         factor = 1.0 + self.random.random()
-        min_seconds = self.settings.election_seconds if seconds is None else seconds
+        settings = self.settings
+        min_seconds = (
+            settings.election_seconds if self.has_known_leader else settings.first_election_seconds
+        )
         self.election_deadline = Instant(self.now + factor * min_seconds)
 
     def record_leader_contact(self, leader: InstanceId) -> None:
@@ -189,6 +194,7 @@
             self.out_of_touch_since = None
             self.effects.append(_events.LEADER_CONTACT_RESTORED.emit(leader=leader))
         self.last_leader_contact = self.now
+        self.has_known_leader = True
         self.restart_election_timer()
         self.set_role(self.passive_role(), leader)
 
--- a/chicorypost/consensus/_formation.py
+++ b/chicorypost/consensus/_formation.py
@@ -23,7 +23,9 @@
 
 def send_hellos(core: ReplicaCore) -> None:
     """Send a hello message to all members, founding members and contacts."""
-    core.hello_deadline = Instant(core.now + core.settings.election_seconds)
+    settings = core.settings
+    seconds = settings.election_seconds if core.is_formed else settings.first_election_seconds
+    core.hello_deadline = Instant(core.now + seconds)
     for peer in _hello_targets(core):
         peer_generation, _ = core.unformed_peers.get(peer, ("", False))
         cluster, source = core.hard_state.cluster, core.identity.generation
--- a/chicorypost/consensus/_replication.py
+++ b/chicorypost/consensus/_replication.py
@@ -19,6 +19,7 @@
 
 
 def _reset_leader_contact(core: ReplicaCore) -> None:
+    core.has_known_leader = True
     core.last_leader_contact = core.now
     if core.out_of_touch_since is not None:
         core.out_of_touch_since = None
--- a/chicorypost/consensus/_settings.py
+++ b/chicorypost/consensus/_settings.py
@@ -17,9 +17,10 @@
     them to `contacts` too, which never become part of the initial membership. A process that reads
     its settings from a file checks the bounds with pydantic, which supports data classes.
 
-    `first_election_seconds` replaces `election_seconds` for the first election timer of a process.
-    It may be shorter: members that have a leader ignore the pre-vote, and a cluster that has lost
-    power as a whole elects a leader sooner.
+    `first_election_seconds` replaces `election_seconds` in a process that has not had a leader yet,
+    and is the interval of its hello messages before there is a cluster. It may be shorter: members
+    that have a leader ignore the pre-vote, and a cluster that is new or has lost power as a whole
+    elects a leader sooner.
     """
 
     __pydantic_config__ = {"extra": "forbid"}
@@ -28,7 +29,7 @@
     contacts: tuple[InstanceId, ...] = ()
     heartbeat_seconds: Annotated[float, Bound(gt=0)] = 0.25
     election_seconds: Annotated[float, Bound(gt=0)] = 1.5
-    first_election_seconds: Annotated[float, Bound(gt=0)] = 1.5
+    first_election_seconds: Annotated[float, Bound(gt=0)] = 0.5
     silent_seconds: Annotated[float, Bound(gt=0)] = 5.0
     max_proposals_in_flight: Annotated[int, Bound(ge=1)] = 256
     max_reads_in_flight: Annotated[int, Bound(ge=1)] = 1024
--- a/chicorypost/consensus/tests/test_cluster.py
+++ b/chicorypost/consensus/tests/test_cluster.py
@@ -142,3 +142,11 @@
     cluster.repair_all()
     cluster.run(10.0)
     assert {node.replica.core.hard_state.cluster for node in cluster.nodes.values()} == {first}
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_new_cluster_elects_a_leader_by_the_first_election_timer(seed):
+    """The first change waited for a full timeout before the bootstrap and another one after it."""
+    cluster = Cluster(3, seed, election_seconds=10.0, first_election_seconds=0.3)
+    cluster.run(3.0)
+    assert cluster.leader() is not None
