Use a connection to an upstream again only after a response that names its attempt

Cause: a second copy of a response, sent late on a connection in use again, became the response to the next caller's request, when the upstream names no attempt in its responses and the copy arrived after the next request was sent; bytes behind a response were kept by the parser for the next one. Change: a connection is used again only after a response that names its attempt and with no bytes behind it; on a connection whose responses have named attempts, one that names none or another one ends the exchange with an unknown outcome and a numbered event. On the platform clients and upstreams exchange bytes themselves; its roles make no such exchange.

--- a/chicorypost/daemons/_exchanges.py
+++ b/chicorypost/daemons/_exchanges.py
@@ -47,9 +47,11 @@
 
     Notes
     -----
-    A connection carries one exchange at a time. It is closed unless the exchange ended with a
-    complete response, so that a late response can't be mistaken for the one to the next attempt. A
-    response whose ``Chicorypost-Attempt`` header names another attempt is dropped.
+    A connection carries one exchange at a time. It is used again only after a complete response
+    that names its attempt in the ``Chicorypost-Attempt`` header: an upstream may send a second copy
+    of a response at any time later, and only that header tells it from the response to the next
+    attempt. A response on a connection in use again that names no attempt or another one is
+    dropped.
     """
 
     engine: Engine
@@ -86,10 +88,34 @@
         try:
             if not self.may_act(self.engine.now()):
                 return ExchangeFailed(ExchangeFault.UNREACHABLE, "lease ended before sending")
-            return await connection.exchange(self._make_request(effect))
+            result = await connection.exchange(self._make_request(effect))
+            return self._check_attempt(effect, connection, result)
         finally:
             await self._release_connection(effect, connection)
 
+    def _check_attempt(
+        self,
+        effect: StartExchange,
+        connection: HttpConnection,
+        result: ExchangeResponse | ExchangeFailed,
+    ) -> ExchangeResponse | ExchangeFailed:
+        """Return the result, or a failure if the response may belong to another attempt."""
+        if isinstance(result, ExchangeFailed):
+            return result
+        named_attempt = result.header(ATTEMPT_HEADER)
+        if named_attempt == effect.attempt:
+            connection.names_attempts = True
+            return result
+        is_first_exchange = not connection.names_attempts
+        connection.is_reusable = False
+        if named_attempt is None and is_first_exchange:
+            return result
+        event = LATE_RESPONSE_DROPPED.emit(
+            upstream=effect.upstream.upstream, attempt=named_attempt or ""
+        )
+        self.engine.emit(event)
+        return ExchangeFailed(ExchangeFault.BROKEN, "the answer doesn't name this attempt")
+
     async def _connect(self, effect: StartExchange) -> HttpConnection | ExchangeFailed:
         idle = self.idle_connections.get(_pool_key(effect), [])
         while idle:
@@ -121,28 +147,15 @@
         self, effect: StartExchange, result: ExchangeResponse | ExchangeFailed
     ) -> ExchangeEnded:
         match result:
-            case ExchangeResponse() if self._belongs_to_attempt(effect, result):
+            case ExchangeResponse():
                 response = HttpResponse(result.status, result.headers, result.body)
                 outcome = DispatchOutcome.RESPONDED
                 return ExchangeEnded(effect.attempt, outcome, "answered", response)
-            case ExchangeResponse():
-                reason = "the answer names another attempt"
-                return ExchangeEnded(effect.attempt, DispatchOutcome.UNKNOWN, reason, None)
             case ExchangeFailed(fault=ExchangeFault.UNREACHABLE, detail=detail):
                 not_started = DispatchOutcome.NOT_STARTED
                 return ExchangeEnded(effect.attempt, not_started, detail, None)
         return ExchangeEnded(effect.attempt, DispatchOutcome.UNKNOWN, result.detail, None)
 
-    def _belongs_to_attempt(
-        self, effect: StartExchange, upstream_response: ExchangeResponse
-    ) -> bool:
-        named_attempt = upstream_response.header(ATTEMPT_HEADER)
-        if named_attempt is None or named_attempt == effect.attempt:
-            return True
-        event = LATE_RESPONSE_DROPPED.emit(upstream=effect.upstream.upstream, attempt=named_attempt)
-        self.engine.emit(event)
-        return False
-
 
 def _pool_key(effect: StartExchange) -> PoolKey:
     upstream = effect.upstream
--- a/chicorypost/transport/_http_client.py
+++ b/chicorypost/transport/_http_client.py
@@ -68,6 +68,8 @@
         self.body_bytes = body_bytes
         self.connection = h11.Connection(h11.CLIENT)
         self.is_reusable = True
+        self.names_attempts = False
+        """Whether a response on this connection has named the attempt that it belongs to."""
 
     async def exchange(self, request: ExchangeRequest) -> ExchangeResponse | ExchangeFailed:
         """Send a request and wait for its complete response.
@@ -86,7 +88,10 @@
             return ExchangeFailed(ExchangeFault.BROKEN, repr(error))
         except h11.ProtocolError as error:
             return ExchangeFailed(ExchangeFault.MALFORMED, str(error))
-        if isinstance(response, ExchangeResponse) and self.connection.their_state is h11.DONE:
+        # Bytes behind the response would be read as the response to the next request.
+        has_surplus = bool(self.connection.trailing_data[0])
+        is_complete = isinstance(response, ExchangeResponse)
+        if is_complete and self.connection.their_state is h11.DONE and not has_surplus:
             self.connection.start_next_cycle()
             self.is_reusable = True
         return response
