Let an instance that isn't a member find the leader through any member

Cause, found by looking for the report of disks that are full in turn: only the leader adds members, but an instance whose disk was emptied says hello to its contacts and to the first members alone, and a voter that was replaced while its disk was full requests votes of the voters in its own log. Change: a member that receives a hello or a vote request from an instance outside its membership replies with the members that it knows, in a field that earlier versions ignore; the instance greets all of them until it hears from a leader.

--- a/chicorypost/consensus/_core.py
+++ b/chicorypost/consensus/_core.py
@@ -117,6 +117,8 @@
         self.contacts = settings.contacts
         # Generation of each peer, and whether its last hello named this replica's generation.
         self.unformed_peers: dict[InstanceId, tuple[str, bool]] = {}
+        self.reported_members: set[InstanceId] = set()
+        """Members named by peers that don't count this replica as one; empty with a leader."""
         self.foreign_messages = 0
         self.has_known_leader = False
         """Whether there has been a leader since the start of this replica."""
@@ -195,6 +197,7 @@
             self.effects.append(_events.LEADER_CONTACT_RESTORED.emit(leader=leader))
         self.last_leader_contact = self.now
         self.has_known_leader = True
+        self.reported_members.clear()
         self.restart_election_timer()
         self.set_role(self.passive_role(), leader)
 
--- a/chicorypost/consensus/_formation.py
+++ b/chicorypost/consensus/_formation.py
@@ -3,7 +3,7 @@
 Only the first of the founding members bootstraps a cluster, once all the others have replied to it
 that they belong to none. So a replica with an emptied data folder can't bootstrap a second cluster:
 its peers report the existing one. It returns with a new generation, without a vote, and waits to be
-added.
+added. The leader adds it, so its hello has to reach all members; its peers report them.
 """
 
 from chicorypost.base import InstanceId, Instant
@@ -17,8 +17,13 @@
 
 
 def needs_hello(core: ReplicaCore) -> bool:
-    """Return whether this replica isn't a member yet and has to send hello messages."""
-    return not core.is_formed or core.identity not in core.log.membership.members
+    """Return whether this replica isn't a member and has to send hello messages.
+
+    A voter that was removed while it was silent lacks the entry of its removal; its peers report
+    it.
+    """
+    is_member = core.identity in core.log.membership.members and not core.reported_members
+    return not core.is_formed or not is_member
 
 
 def send_hellos(core: ReplicaCore) -> None:
@@ -36,16 +41,15 @@
 def _hello_targets(core: ReplicaCore) -> list[InstanceId]:
     members = {member.instance for member in core.log.membership.members}
     configured = set(core.settings.founding_members) | set(core.contacts)
-    return sorted((members | configured) - {core.identity.instance})
+    return sorted((members | core.reported_members | configured) - {core.identity.instance})
 
 
 def handle_hello(core: ReplicaCore, sender: InstanceId, message: FormationHello) -> None:
-    """Send the own cluster to a peer that has none; without one, record the peer as unformed."""
+    """Send the own cluster to a peer outside it; without one, record the peer as unformed."""
     if core.is_formed:
-        _record_hello_sender(core, sender, message)
-        if not message.cluster:
-            info = ClusterInfo(core.hard_state.cluster, core.hard_state.initial_membership)
-            core.send_when_synced(sender, info)
+        is_waiting = _record_hello_sender(core, sender, message)
+        if is_waiting or not message.cluster:
+            _send_cluster_info(core, sender)
         return
     if not message.cluster:
         has_own_generation = message.target_generation == core.identity.generation
@@ -53,7 +57,14 @@
         _bootstrap_if_ready(core)
 
 
-def _record_hello_sender(core: ReplicaCore, sender: InstanceId, message: FormationHello) -> None:
+def _send_cluster_info(core: ReplicaCore, to: InstanceId) -> None:
+    state = core.hard_state
+    info = ClusterInfo(state.cluster, state.initial_membership, core.log.membership.members)
+    core.send_when_synced(to, info)
+
+
+def _record_hello_sender(core: ReplicaCore, sender: InstanceId, message: FormationHello) -> bool:
+    """Record the sender as waiting if it isn't a member; return whether it is waiting."""
     is_foreign = message.cluster not in ("", core.hard_state.cluster)
     generations = {member.generation for member in core.log.membership.members}
     if not message.cluster:
@@ -61,14 +72,20 @@
         generations.update(
             member.generation for member in core.hard_state.initial_membership.voters
         )
-    if not is_foreign and message.source_generation not in generations:
+    is_waiting = not is_foreign and message.source_generation not in generations
+    if is_waiting:
         _record_waiting_member(core, sender, message.source_generation)
+    return is_waiting
 
 
 def record_removed_member(core: ReplicaCore, sender: InstanceId, generation: str) -> None:
-    """Record a removed member that requests votes because it lacks the entry of its removal."""
+    """Record a removed member that requests votes because it lacks the entry of its removal.
+
+    It requests votes of the voters that it knows; the leader may not be one of them.
+    """
     if generation not in {member.generation for member in core.log.membership.members}:
         _record_waiting_member(core, sender, generation)
+        _send_cluster_info(core, sender)
 
 
 def _record_waiting_member(core: ReplicaCore, sender: InstanceId, generation: str) -> None:
@@ -97,15 +114,20 @@
     core.effects.append(bootstrapped)
     _join_cluster(core, cluster, ClusterMembership(tuple(voters)))
     for founding_member in founding_members[1:]:
-        core.send_when_synced(
-            founding_member, ClusterInfo(cluster, core.hard_state.initial_membership)
-        )
+        _send_cluster_info(core, founding_member)
 
 
 def handle_cluster_info(core: ReplicaCore, message: ClusterInfo) -> None:
-    """Join the cluster of a peer, unless this replica belongs to one already."""
+    """Join the cluster of a peer, and record its members if this replica isn't one of them."""
     if not core.is_formed and message.cluster:
         _join_cluster(core, message.cluster, message.initial_membership)
+    is_own_cluster = core.is_formed and message.cluster == core.hard_state.cluster
+    if not is_own_cluster or core.leadership is not None or core.identity in message.members:
+        return
+    # Only the first report is acted on at once: peers whose reports differ would cause a storm.
+    if message.members and not core.reported_members:
+        core.hello_deadline = core.now
+    core.reported_members.update(member.instance for member in message.members)
 
 
 def _join_cluster(core: ReplicaCore, cluster: str, initial_membership: ClusterMembership) -> None:
--- a/chicorypost/consensus/_messages.py
+++ b/chicorypost/consensus/_messages.py
@@ -1,7 +1,7 @@
 """Messages between replicas."""
 
 from chicorypost.base import LogIndex, Message, Term
-from chicorypost.consensus._records import ClusterMembership, Entry
+from chicorypost.consensus._records import ClusterMembership, Entry, MemberId
 
 
 class FormationHello(Message, frozen=True, array_like=True, tag=100):
@@ -18,10 +18,15 @@
 
 
 class ClusterInfo(Message, frozen=True, array_like=True, tag=101):
-    """Reply to `FormationHello` from a replica that belongs to a cluster."""
+    """Sent by a replica that belongs to a cluster to one that has none or isn't a member.
+
+    `members` are the members that the sender knows, so that the receiver can send its hello to all
+    of them: only the leader adds members. It is empty in messages of earlier versions.
+    """
 
     cluster: str
     initial_membership: ClusterMembership
+    members: tuple[MemberId, ...] = ()
 
 
 class ReplicaMessage(Message, frozen=True, array_like=True, tag=102):
--- a/chicorypost/consensus/tests/test_membership_repair.py
+++ b/chicorypost/consensus/tests/test_membership_repair.py
@@ -4,8 +4,10 @@
 
 import pytest
 
-from chicorypost.base import InstanceId
+from chicorypost.base import InstanceId, Received
 from chicorypost.consensus import ChangeMembership, MembershipRepairSettings
+from chicorypost.consensus._messages import ClusterInfo
+from chicorypost.consensus._records import MemberId
 from chicorypost.consensus.tests.fakes import Cluster
 
 C1, C2, C3, C4, C5 = (InstanceId(f"c{number}") for number in (1, 2, 3, 4, 5))
@@ -150,3 +152,67 @@
     cluster.run(6.0)
     cluster.check_accepted()
     assert len(cluster.voters()) == 3
+
+
+def lead_by_one_of(cluster, names):
+    """Cut off leaders for a moment until one of the given members leads."""
+    for _ in range(50):
+        leader = cluster.wait_for_leader()
+        if leader.instance in names:
+            return leader
+        cluster.isolate(leader.instance)
+        cluster.run(2.5)
+        cluster.repair_all()
+        cluster.run(1.0)
+    raise AssertionError(f"none of {names} became the leader")
+
+
+@pytest.mark.parametrize("name", [C1, C2, C3])
+def test_emptied_member_that_does_not_know_the_leader_is_added_again(name):
+    """Its contacts are the founding members, none of which leads."""
+    cluster = RepairedCluster(3, voters=5)
+    cluster.add_node(C4)
+    cluster.add_node(C5)
+    cluster.run(10.0)
+    lead_by_one_of(cluster, (C4, C5))
+    cluster.restart(cluster.nodes[name], empty=True)
+    cluster.run(8.0)
+    voters = {voter.generation for voter in cluster.wait_for_leader().replica.membership.voters}
+    assert cluster.nodes[name].replica.core.identity.generation in voters
+    assert len(voters) == 5
+    check_proposal_accepted(cluster, 9)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_removed_voter_that_does_not_know_the_leader_becomes_a_member_again(seed):
+    """While it was silent it was replaced, and the instance that replaced it became the leader."""
+    cluster = RepairedCluster(3, seed)
+    cluster.run(5.0)
+    lost = next(name for name in (C1, C2, C3) if name != cluster.wait_for_leader().instance)
+    cluster.kill(cluster.nodes[lost])
+    cluster.add_node(C4)
+    cluster.run(8.0)
+    lead_by_one_of(cluster, (C4,))
+    cluster.start(cluster.nodes[lost])
+    cluster.run(8.0)
+    members = cluster.wait_for_leader().replica.membership
+    assert [learner.instance for learner in members.learners] == [lost]
+    assert cluster.nodes[lost].replica.role.value == "learner"
+
+
+def test_peers_that_report_different_members_cause_no_storm_of_hellos():
+    """A replica that waits greets at most once per election timeout, besides the first report."""
+    cluster = RepairedCluster(3)
+    cluster.run(5.0)
+    waiting = cluster.add_node(C4)
+    sent = 0
+    for round_number in range(200):
+        others = (MemberId(InstanceId(f"d{round_number}"), f"h{round_number}"),)
+        initial = waiting.replica.core.hard_state.initial_membership
+        cluster_id = cluster.nodes[C1].replica.core.hard_state.cluster
+        info = ClusterInfo(cluster_id, initial, others)
+        cluster.in_flight.clear()
+        cluster.handle(waiting, Received(C2, info))
+        cluster.tick_if_due(waiting)
+        sent += sum(sender == C4 and to == C1 for sender, to, _ in cluster.in_flight)
+    assert sent <= 2
--- a/chicorypost/roles/tests/test_disks_in_turn.py
+++ b/chicorypost/roles/tests/test_disks_in_turn.py
@@ -11,6 +11,8 @@
 from chicorypost.base import InstanceId
 from chicorypost.consensus import (
     Apply,
+    ChangeMembership,
+    MembershipRepairSettings,
     Persist,
     ProposalAccepted,
     Propose,
@@ -25,7 +27,7 @@
 from chicorypost.daemons import Engine, Registration, message_types_in
 from chicorypost.roles._replica_host import REPLICA_HOST_EVENTS, DiskWriter, ReplicaHost
 
-NAMES = tuple(InstanceId(f"10.0.0.{number}:80") for number in range(1, 6))
+NAMES = tuple(InstanceId(f"10.0.0.{number}:80") for number in range(1, 8))
 
 
 class FullDisk(CrashingFileSystem):
@@ -52,7 +54,7 @@
 class ControlInstance:
     """Replica with its engine and disk; messages go to the other instances of the group."""
 
-    def __init__(self, group, name, folder, seed):
+    def __init__(self, group, name, folder, seed, founding):
         self.group, self.name = group, name
         self.files = FullDisk()
         self.log: list[Any] = []
@@ -60,8 +62,8 @@
         self.applied: list[bytes] = []
         self.engine = Engine(self.send, self.log.append, self.execute)
         settings = ReplicaSettings(
-            founding_members=group.names,
-            contacts=group.names,
+            founding_members=founding,
+            contacts=founding,
             election_seconds=1.0,
             first_election_seconds=0.3,
             snapshot_interval_records=8,
@@ -100,15 +102,19 @@
 class ControlGroup:
     """Control instances that found one cluster."""
 
-    def __init__(self, folder, size, seed):
+    def __init__(self, folder, size, seed, founding=5, voters=5):
         self.names = NAMES[:size]
+        self.repair_settings = MembershipRepairSettings(voters=voters)
         self.random = Random(seed)
         self.network, self.deliveries = trio.open_memory_channel(10_000)
         self.instances = {
-            name: ControlInstance(self, name, folder / str(number), seed + number)
+            name: ControlInstance(
+                self, name, folder / str(number), seed + number, NAMES[: min(size, founding)]
+            )
             for number, name in enumerate(self.names)
         }
         self.proposals = 0
+        self.changes_made = 0
 
     async def deliver(self):
         async for sender, to, message in self.deliveries:
@@ -116,6 +122,19 @@
             if to in self.instances:
                 self.instances[to].engine.receive(sender, message)
 
+    async def repair(self):
+        """Repair the membership as the control role does."""
+        while True:
+            await trio.sleep(0.25)
+            for instance in self.instances.values():
+                replica = instance.host.replica
+                if replica is None or replica.role is not ReplicaRole.LEADER:
+                    continue
+                change = replica.plan_repair(self.repair_settings)
+                if change is not None:
+                    self.changes_made += 1
+                    instance.engine.post(ChangeMembership(f"m{self.changes_made}", change))
+
     def leader(self):
         leaders = [item for item in self.instances.values() if item.is_leading()]
         return max(leaders, key=lambda item: item.term, default=None)
@@ -156,6 +175,7 @@
     async def main():
         async with trio.open_nursery() as nursery:
             nursery.start_soon(group.deliver)
+            nursery.start_soon(group.repair)
             for instance in group.instances.values():
                 nursery.start_soon(instance.writer.run)
                 nursery.start_soon(instance.engine.run_timer)
@@ -195,3 +215,43 @@
             assert instance.applied[-1] == f"p{group.proposals}".encode()
 
     run(group, scenario)
+
+
+@pytest.mark.parametrize(
+    ("size", "voters"), [(3, 3), (4, 3), (5, 5), (6, 5)], ids=lambda number: str(number)
+)
+@pytest.mark.parametrize("target", ["leader", "follower", "each"])
+@pytest.mark.parametrize("full_seconds", [1.0, 3.0, 6.0])
+@pytest.mark.parametrize("pause_seconds", [0.05, 1.0, 4.0])
+def test_membership_recovers_after_disks_were_full_in_turn(
+    tmp_path, monkeypatch, size, voters, target, full_seconds, pause_seconds
+):
+    """A member that is replaced while its disk is full takes part again afterwards.
+
+    Three instances found the cluster, the others join; one that is silent for long is replaced.
+    """
+    monkeypatch.setattr(trio.to_thread, "run_sync", run_without_thread)
+    group = ControlGroup(tmp_path, size, seed=size, founding=3, voters=voters)
+
+    async def scenario():
+        assert await group.change(20.0)
+        await trio.sleep(5.0)
+        for number in range(2 * size):
+            disk = group.pick_disk(target, number)
+            disk.partial_share, disk.is_full = 0.5, True
+            ends_at = trio.current_time() + full_seconds
+            while trio.current_time() < ends_at:
+                await group.change(1.0)
+                await trio.sleep(0.2)
+            disk.is_full = False
+            await trio.sleep(pause_seconds)
+        assert await group.change(5.0), "a change is unanswered although all disks have room"
+        await trio.sleep(10.0)
+        assert await group.change(1.0), "a change is unanswered although all disks have room"
+        await trio.sleep(1.0)
+        for instance in group.instances.values():
+            assert instance.host.replica is not None
+            assert instance.applied[-1] == f"p{group.proposals}".encode()
+        assert len(group.leader().host.replica.membership.voters) == voters
+
+    run(group, scenario)
