Keep an upstream that has left out of use after restarts of control instances

Cause, found by looking for the report of servers that are in use again after a restart: (1) a restored table and an old table of a peer counted as calls just received, so that an upstream that had left or crashed meanwhile was usable until it was silent again; (2) the response to a leave notice waited for the peers but not for the disk, and with no peer connected it waited for nothing, so that a loss of power of all control instances lost it. Ruled out: balancers revive nothing by themselves, since a feed of another run starts anew. Change: entries from disk and old entries of peers are listed as silent until the upstream calls, so that a balancer uses them only if it knows no complete table that contradicts; a leave or drain is acknowledged when it is on disk and with the connected peers, or after hold_seconds; the table is saved 0.05 s after a change, at most a tenth of the time, and a failed save is repeated.

--- a/chicorypost/announcements/_records.py
+++ b/chicorypost/announcements/_records.py
@@ -110,7 +110,8 @@
 class UpstreamCallCompleted(Effect, msgspec.Struct, frozen=True):
     """Send the response to a call.
 
-    If the call takes an upstream out of use, the connected peers have replicated it or timed out.
+    If the call takes an upstream out of use, it is on disk and the connected peers have replicated
+    it, or that has timed out.
     """
 
     call_id: str
@@ -118,7 +119,18 @@
 
 
 class TableChanged(Effect, msgspec.Struct, frozen=True):
-    """Save the table, so that it survives a restart of all control instances."""
+    """Save the table, so that it survives a restart of all control instances.
+
+    `TableSaved` with the same or a higher `change_number` reports that the change is durable.
+    """
+
+    change_number: int
+
+
+class TableSaved(Event, msgspec.Struct, frozen=True):
+    """The table with all changes up to `change_number` is on disk."""
+
+    change_number: int
 
 
 class TableRestored(Event, msgspec.Struct, frozen=True):
--- a/chicorypost/announcements/_registry.py
+++ b/chicorypost/announcements/_registry.py
@@ -25,6 +25,7 @@
     PeersChanged,
     TableChanged,
     TableRestored,
+    TableSaved,
     UpstreamCallCompleted,
     UpstreamCallReceived,
     VersionApplied,
@@ -45,13 +46,14 @@
 
 
 class PendingCall(msgspec.Struct):
-    """A call whose response waits until peers acknowledge the change `change_number`."""
+    """A call whose response waits until the change `change_number` is saved and replicated."""
 
     call_id: str
     outcome: AnnouncementOutcome
     change_number: int
     unconfirmed_peers: set[InstanceId]
     deadline: Instant
+    is_saved: bool = False
 
 
 class Dissemination(msgspec.Struct):
@@ -76,12 +78,16 @@
 
     Notes
     -----
-    The response to a call that takes an upstream out of use waits until all connected peers have
-    replicated it or `hold_seconds` have passed, so that a crash of this process doesn't lose it.
+    The response to a call that takes an upstream out of use waits until it is on disk and all
+    connected peers have replicated it, or `hold_seconds` have passed, so that neither a crash of
+    this process nor one of all processes loses it.
     The table of a process that has just started lacks upstreams: `is_complete` stays False until
     every live upstream has had time to call, or until a peer sends a complete table. Until then the
     leave notice of an unknown upstream is refused: acknowledging it would lose it, and a peer that
     lists the upstream would keep it in use.
+
+    A restored table may be old, so its upstreams are listed as silent until they call: a balancer
+    uses them only if it knows no complete table that contradicts.
     """
 
     def __init__(self, settings: AnnouncementSettings, feed_id: int, now: Instant) -> None:
@@ -115,9 +121,9 @@
                 self.connected_peers.discard(peer)
                 self._record_acknowledgement(peer, self.dissemination.change_number)
             case TableRestored(listed):
-                # The downtime is unknown, so each upstream gets the full time to call again.
-                for item in listed:
-                    self.table.record_announcement(item.announcement, now)
+                self._restore_table(listed, now)
+            case TableSaved(change_number):
+                self._record_save(change_number)
             case VersionApplied(document):
                 self.effects += self.feed.set_document(document, now)
             case Tick():
@@ -175,7 +181,7 @@
             self.dissemination.contacts[latest.upstream] = contact
         self._publish(changed, now, replicate=True)
         ends_use = entry is not None and entry.announcement.status is not AnnouncedStatus.READY
-        if changed and ends_use and self.connected_peers:
+        if changed and ends_use:
             deadline = Instant(now + self.settings.hold_seconds)
             unconfirmed_peers = set(self.connected_peers)
             pending_call = PendingCall(
@@ -194,9 +200,10 @@
         if not changed:
             return
         listed = self.table.list_upstreams(now, changed)
-        self.effects.append(TableChanged())
         if replicate:
             self.dissemination.change_number += 1
+        self.effects.append(TableChanged(self.dissemination.change_number))
+        if replicate:
             for peer in self.peers:
                 self._send(peer, ReplicateChanges(self.dissemination.change_number, listed))
         self.effects += self.feed.publish(listed, self.is_complete, now)
@@ -234,9 +241,21 @@
         changed: list[UpstreamId] = []
         for item in listed:
             received_at = Instant(now - item.age_ms / MS_PER_SECOND)
-            changed += self.table.record_announcement(item.announcement, received_at)[1]
+            is_recent = not item.is_silent and now - received_at < self.settings.silent_seconds
+            changed += self.table.record_announcement(item.announcement, received_at, is_recent)[1]
         self._publish(changed, now, replicate=False)
 
+    def _restore_table(self, listed: tuple[ListedUpstream, ...], now: Instant) -> None:
+        for item in listed:
+            # The downtime is unknown, so each upstream is remembered for the full time again.
+            if not item.is_silent or item.announcement.status is AnnouncedStatus.GONE:
+                self.table.record_announcement(item.announcement, now, is_recent=False)
+
+    def _record_save(self, change_number: int) -> None:
+        for pending in self.pending_calls:
+            pending.is_saved = pending.is_saved or pending.change_number <= change_number
+        self._complete_confirmed_calls()
+
     def _merge_contacts(
         self, sender: InstanceId, contacts: tuple[UpstreamContact, ...], now: Instant
     ) -> None:
@@ -254,8 +273,15 @@
         for pending in self.pending_calls:
             if pending.change_number <= change_number:
                 pending.unconfirmed_peers.discard(peer)
+        self._complete_confirmed_calls()
+
+    def _complete_confirmed_calls(self) -> None:
         self._complete_calls(
-            [pending for pending in self.pending_calls if not pending.unconfirmed_peers]
+            [
+                pending
+                for pending in self.pending_calls
+                if pending.is_saved and not pending.unconfirmed_peers
+            ]
         )
 
     def _complete_calls(self, completed: list[PendingCall]) -> None:
--- a/chicorypost/announcements/_table.py
+++ b/chicorypost/announcements/_table.py
@@ -33,7 +33,7 @@
         self.upstream_by_endpoint: dict[Endpoint, UpstreamId] = {}
 
     def record_announcement(
-        self, announcement: Announcement, received_at: Instant
+        self, announcement: Announcement, received_at: Instant, is_recent: bool = True
     ) -> tuple[AnnouncementOutcome, list[UpstreamId]]:
         """Store a call received from an upstream or from a peer.
 
@@ -43,6 +43,9 @@
             The call.
         received_at : Instant
             When a control instance received it from the upstream.
+        is_recent : bool, default True
+            Whether that shows that the upstream is alive; an old call of a peer or from disk
+            doesn't bring a silent upstream back into use.
 
         Returns
         -------
@@ -52,16 +55,17 @@
         entry = self.entries.get(announcement.upstream)
         if entry is not None and announcement.order_key <= entry.announcement.order_key:
             if announcement.order_key == entry.announcement.order_key:
-                return AnnouncementOutcome.ACCEPTED, self._update_last_contact(entry, received_at)
+                revived = self._update_last_contact(entry, received_at, is_recent)
+                return AnnouncementOutcome.ACCEPTED, revived
             return AnnouncementOutcome.OUTDATED, []
         other = self._find_other_at_endpoint(announcement)
         if other is not None and other.announcement.started_at_ms > announcement.started_at_ms:
             return AnnouncementOutcome.OUTDATED, []
-        changed = []
+        changed: list[UpstreamId] = []
         if other is not None and other.announcement.status is not AnnouncedStatus.GONE:
             other.announcement = _mark_gone(other.announcement)
             changed.append(other.announcement.upstream)
-        changed += self._store(announcement, received_at)
+        changed += self._store(announcement, received_at, is_recent)
         return AnnouncementOutcome.ACCEPTED, changed
 
     def _find_other_at_endpoint(self, announcement: Announcement) -> TableEntry | None:
@@ -73,23 +77,29 @@
         # An upstream that has restarted at another address has released its previous one.
         return entry if entry.announcement.endpoint == announcement.endpoint else None
 
-    def _store(self, announcement: Announcement, received_at: Instant) -> list[UpstreamId]:
+    def _store(
+        self, announcement: Announcement, received_at: Instant, is_recent: bool
+    ) -> list[UpstreamId]:
         name = announcement.upstream
         entry = self.entries.get(name)
         self.upstream_by_endpoint[announcement.endpoint] = name
         if entry is None:
-            self.entries[name] = TableEntry(announcement, received_at)
+            self.entries[name] = TableEntry(announcement, received_at, not is_recent)
             return [name]
         is_change = _without_volatile_fields(announcement) != _without_volatile_fields(
             entry.announcement
         )
         entry.announcement = announcement
-        return self._update_last_contact(entry, received_at) or ([name] if is_change else [])
+        revived = self._update_last_contact(entry, received_at, is_recent)
+        return revived or ([name] if is_change else [])
 
-    def _update_last_contact(self, entry: TableEntry, received_at: Instant) -> list[UpstreamId]:
+    def _update_last_contact(
+        self, entry: TableEntry, received_at: Instant, is_recent: bool = True
+    ) -> list[UpstreamId]:
         entry.last_contact_at = max(entry.last_contact_at, received_at)
-        was_silent, entry.is_silent = entry.is_silent, False
-        return [entry.announcement.upstream] if was_silent else []
+        is_revived = entry.is_silent and is_recent
+        entry.is_silent = entry.is_silent and not is_recent
+        return [entry.announcement.upstream] if is_revived else []
 
     def record_leave(self, notice: LeaveNotice) -> tuple[AnnouncementOutcome, list[UpstreamId]]:
         """Mark an upstream as gone after its notice."""
--- a/chicorypost/announcements/tests/network.py
+++ b/chicorypost/announcements/tests/network.py
@@ -1,12 +1,16 @@
 """Simulation of announcement registries and a directory view that exchange messages."""
 
 from chicorypost.announcements import (
+    AnnouncedStatus,
     AnnouncementRegistry,
     AnnouncementSettings,
     DirectoryView,
     PeerConnected,
     PeerDisconnected,
     PeersChanged,
+    TableChanged,
+    TableRestored,
+    TableSaved,
     UpstreamCallCompleted,
     UpstreamCallReceived,
     VisibleUpstreamsChanged,
@@ -28,12 +32,17 @@
         self.cut_links = set()
         self.completed_calls = []
         self.visible_upstreams = {}
+        self.ever_usable = set()
+        self.disks = dict.fromkeys(self.names, ())
+        self.refusing_disks = set()
         for number, name in enumerate(self.names, start=1):
             self.start(name, number)
 
-    def start(self, name, feed_id):
-        """Start a control instance with an empty table."""
+    def start(self, name, feed_id, is_restored=False):
+        """Start a control instance with an empty table, or with the one on its disk."""
         self.registries[name] = AnnouncementRegistry(SETTINGS, feed_id, self.now)
+        if is_restored:
+            self.deliver(name, TableRestored(self.disks[name]))
         others = tuple(other for other in self.names if other != name)
         self.deliver(name, PeersChanged(others, tuple(self.names)))
         for other in others:
@@ -49,6 +58,19 @@
             self.deliver(other, PeerDisconnected(name))
         self.deliver(self.balancer, PeerDisconnected(name))
 
+    def start_balancer(self):
+        """Replace the balancer by one that has just started."""
+        self.view = DirectoryView(SETTINGS, tuple(self.names), self.now)
+        self.visible_upstreams = {}
+        for name in self.registries:
+            self.deliver(self.balancer, PeerConnected(name))
+
+    def save_table(self, name, change_number):
+        """Save the table of a control instance, unless its disk refuses."""
+        if name not in self.refusing_disks:
+            self.disks[name] = self.registries[name].list_all_upstreams(self.now)
+            self.deliver(name, TableSaved(change_number))
+
     def state_machine(self, name):
         return self.view if name == self.balancer else self.registries.get(name)
 
@@ -68,6 +90,13 @@
                 self.completed_calls.append((call, outcome))
             case VisibleUpstreamsChanged(upstreams):
                 self.visible_upstreams = {item.announcement.upstream: item for item in upstreams}
+                self.ever_usable |= {
+                    item.announcement.upstream
+                    for item in upstreams
+                    if item.announcement.status is AnnouncedStatus.READY and not item.is_silent
+                }
+            case TableChanged(change_number):
+                self.save_table(name, change_number)
 
     def announce(self, name, announcement, call="call"):
         self.deliver(name, UpstreamCallReceived(call, announcement))
--- a/chicorypost/roles/_announcement_table_file.py
+++ b/chicorypost/roles/_announcement_table_file.py
@@ -11,29 +11,45 @@
 from chicorypost.events import Emit
 from chicorypost.roles._events import ANNOUNCEMENTS_NOT_SAVED
 
-SAVE_INTERVAL_SECONDS = 0.5
-"""Pause between two saves; changes in between are announced again anyway."""
+MIN_SAVE_PAUSE_SECONDS = 0.05
+"""Shortest pause between two saves; well below the time that a leave notice waits for its save."""
+SAVE_RETRY_SECONDS = 0.5
+"""Pause after a failed save."""
+MAX_SAVE_SHARE = 0.1
+"""Share of the time that saving may take: a large table is saved less often."""
 TEMPORARY_SUFFIX = ".new"
 
 
 class AnnouncementTableFile:
     """Saves the announcement table in a thread and loads it at start.
 
-    The file only shortens recovery after a restart; a missing or damaged file is treated as an
-    empty table.
+    The file shortens recovery after a restart and keeps what upstreams were told that they may
+    rely on: that they have left. A missing or damaged file is treated as an empty table.
 
     Parameters
     ----------
     path : Path
         Path of the file.
+    list_upstreams : callable
+        Returns the table to save.
+    on_saved : callable
+        Receives the number of the latest change that is on disk.
     emit : callable
         Receives log events.
     """
 
-    def __init__(self, path: Path, emit: Callable[[Emit], None]) -> None:
+    def __init__(
+        self,
+        path: Path,
+        list_upstreams: Callable[[], tuple[ListedUpstream, ...]],
+        on_saved: Callable[[int], None],
+        emit: Callable[[Emit], None],
+    ) -> None:
         self.path = path
+        self.list_upstreams = list_upstreams
+        self.on_saved = on_saved
         self.emit = emit
-        self.unsaved_upstreams: tuple[ListedUpstream, ...] | None = None
+        self.change_number = 0
         self.save_requested = trio.Event()
 
     def load_table(self) -> tuple[ListedUpstream, ...]:
@@ -51,9 +67,9 @@
             return ()
         return message.listed
 
-    def schedule_save(self, listed: tuple[ListedUpstream, ...]) -> None:
-        """Schedule a save of the table; replaces a table that is not saved yet."""
-        self.unsaved_upstreams = listed
+    def schedule_save(self, change_number: int) -> None:
+        """Schedule a save of the table with all changes up to `change_number`."""
+        self.change_number = change_number
         self.save_requested.set()
 
     async def run(self) -> None:
@@ -62,16 +78,22 @@
         while True:
             await self.save_requested.wait()
             self.save_requested = trio.Event()
-            listed, self.unsaved_upstreams = self.unsaved_upstreams, None
-            if listed is not None:
-                data = encode(AnnouncementTableReply(False, listed))
-                error_text = await trio.to_thread.run_sync(
-                    self._replace_file, data, abandon_on_cancel=True
-                )
-                if error_text and error_text != last_error:
-                    self.emit(ANNOUNCEMENTS_NOT_SAVED.emit(reason=error_text))
-                last_error = error_text
-            await trio.sleep(SAVE_INTERVAL_SECONDS)
+            started_at = trio.current_time()
+            change_number = self.change_number
+            data = encode(AnnouncementTableReply(False, self.list_upstreams()))
+            error_text = await trio.to_thread.run_sync(
+                self._replace_file, data, abandon_on_cancel=True
+            )
+            if error_text and error_text != last_error:
+                self.emit(ANNOUNCEMENTS_NOT_SAVED.emit(reason=error_text))
+            last_error = error_text
+            if error_text:
+                self.save_requested.set()
+                await trio.sleep(SAVE_RETRY_SECONDS)
+            else:
+                self.on_saved(change_number)
+                save_seconds = trio.current_time() - started_at
+                await trio.sleep(max(MIN_SAVE_PAUSE_SECONDS, save_seconds / MAX_SAVE_SHARE))
 
     def _replace_file(self, data: bytes) -> str:
         """Replace the file atomically; return the error, or an empty string on success."""
--- a/chicorypost/roles/_control.py
+++ b/chicorypost/roles/_control.py
@@ -14,11 +14,13 @@
     REGISTRY_MESSAGES,
     AnnouncementRegistry,
     AnnouncementSettings,
+    ListedUpstream,
     PeerConnected,
     PeerDisconnected,
     PeersChanged,
     TableChanged,
     TableRestored,
+    TableSaved,
     UpstreamCallCompleted,
     UpstreamCallReceived,
     VersionApplied,
@@ -107,7 +109,9 @@
         self.replica_host = ReplicaHost(_replica_settings(settings), self.instance, random)
         folder = Path(settings.data_folder)
         self.disk_writer = DiskWriter(folder / LOG_FOLDER, self.engine, event_log.emit)
-        self.table_file = AnnouncementTableFile(folder / TABLE_FILE, event_log.emit)
+        self.table_file = AnnouncementTableFile(
+            folder / TABLE_FILE, self._list_upstreams, self._report_save, event_log.emit
+        )
         self.repair_settings = MembershipRepairSettings(voters=2 * settings.lost_disks + 1)
         announcements = AnnouncementSettings(interval_seconds=settings.announcement_seconds)
         feed = random.getrandbits(48) + 1
@@ -138,6 +142,7 @@
             PeerDisconnected,
             VersionApplied,
             TableRestored,
+            TableSaved,
         )
         self.engine.register(
             Registration("announcements", self.registry, REGISTRY_MESSAGES, events, True)
@@ -171,13 +176,19 @@
                 self.pending_outcomes.deliver_outcome(request_id, effect)
             case UpstreamCallCompleted(call_id=request_id):
                 self.pending_outcomes.deliver_outcome(request_id, effect)
-            case TableChanged():
-                self.table_file.schedule_save(self.registry.list_all_upstreams(self.engine.now()))
+            case TableChanged(change_number):
+                self.table_file.schedule_save(change_number)
             case Event():
                 pass
             case _:
                 raise AssertionError(f"unexpected effect: {effect!r}")
 
+    def _list_upstreams(self) -> tuple[ListedUpstream, ...]:
+        return self.registry.list_all_upstreams(self.engine.now())
+
+    def _report_save(self, change_number: int) -> None:
+        self.engine.post(TableSaved(change_number))
+
     def _publish_version(self, has_changed: bool) -> None:
         state = self.routing_state
         if state.unreadable is not None:
