Update a balancer's upstreams by difference, and use one of two with the same cookie

Cause: (1) each change of one upstream made a balancer rebuild its tables of all upstreams and hash every endpoint again, and each opening grouped all candidates of the service by data centre; both grow with the deployment. (2) A cookie has 32 bits: among 7,800 upstreams two share one in 0.7 % of deployments, and packets of the flows of one were forwarded to the other, perhaps to another service. Change: the view reports changed and forgotten upstreams; an index keeps candidates by service and data centre with their slots, so that a choice looks at its data centre and at the suspected upstreams only. Of endpoints with the same cookie only the one whose upstream started first gets flows, by the same data on every balancer, and the other is reported (cookie-conflict, 827).

--- a/benchmarks/load_model/policies.py
+++ b/benchmarks/load_model/policies.py
@@ -6,7 +6,8 @@
 
 from chicorypost.announcements import VisibleUpstream
 from chicorypost.base import DataCentreId, Instant
-from chicorypost.cookies._choice import Candidates, FlowChooser
+from chicorypost.cookies._candidates import ServiceCandidates
+from chicorypost.cookies._choice import FlowChooser
 from chicorypost.cookies._flows import FlowTracker
 from chicorypost.cookies._settings import CookieSettings
 from chicorypost.cookies._suspects import SuspectedUpstreams
@@ -20,10 +21,10 @@
     """Random choice among the upstreams that aren't silent, regardless of load and data centre."""
 
     def choose(
-        self, candidates: Candidates, data_centres: int, now: Instant
+        self, candidates: ServiceCandidates, data_centres: int, now: Instant
     ) -> VisibleUpstream | None:
         """Return the upstream for a new flow, or None without candidates."""
-        responsive = [item for item in candidates if not item.is_silent] or list(candidates)
+        responsive = candidates.list_reachable() or list(candidates)
         return self.random.choice(responsive) if responsive else None
 
 
@@ -35,10 +36,10 @@
         self.turn_numbers = count(self.random.randrange(1000))
 
     def choose(
-        self, candidates: Candidates, data_centres: int, now: Instant
+        self, candidates: ServiceCandidates, data_centres: int, now: Instant
     ) -> VisibleUpstream | None:
         """Return the upstream for a new flow, or None without candidates."""
-        responsive = [item for item in candidates if not item.is_silent] or list(candidates)
+        responsive = candidates.list_reachable() or list(candidates)
         return responsive[next(self.turn_numbers) % len(responsive)] if responsive else None
 
 
@@ -46,10 +47,10 @@
     """The less loaded of two random upstreams, by the load that this balancer knows."""
 
     def choose(
-        self, candidates: Candidates, data_centres: int, now: Instant
+        self, candidates: ServiceCandidates, data_centres: int, now: Instant
     ) -> VisibleUpstream | None:
         """Return the upstream for a new flow, or None without candidates."""
-        responsive = [item for item in candidates if not item.is_silent] or list(candidates)
+        responsive = candidates.list_reachable() or list(candidates)
         if not responsive:
             return None
         pair = [self.random.choice(responsive) for _ in range(2)]
@@ -60,9 +61,9 @@
     """The least loaded upstream that isn't suspected, regardless of its data centre."""
 
     def _choose_data_centre(
-        self, usable: list[VisibleUpstream], data_centres: int
-    ) -> list[VisibleUpstream]:
-        return usable
+        self, slots: dict[DataCentreId, int], data_centres: int
+    ) -> DataCentreId | None:
+        return None
 
 
 POLICIES: dict[str, ChooserFactory] = {
--- a/chicorypost/announcements/_view.py
+++ b/chicorypost/announcements/_view.py
@@ -48,9 +48,10 @@
 
 
 class VisibleUpstreamsChanged(Event, Effect, msgspec.Struct, frozen=True):
-    """All upstreams known to the balancer; emitted when any of them has changed."""
+    """Changes of the upstreams known to the balancer: new or changed ones, and forgotten ones."""
 
-    upstreams: tuple[VisibleUpstream, ...]
+    changed: tuple[VisibleUpstream, ...]
+    removed: tuple[UpstreamId, ...] = ()
 
 
 class RoutingApplied(Event, Effect, msgspec.Struct, frozen=True):
@@ -218,20 +219,20 @@
 
     def _update_upstreams(self, names: set[UpstreamId], now: Instant) -> None:
         """Recompute some upstreams; emit `VisibleUpstreamsChanged` if any has changed."""
-        has_changed = False
+        changed = []
         for name in names:
             resolved = self._resolve_upstream(name, now)
             if resolved is not None and resolved != self.upstreams.get(name):
                 self.upstreams[name] = resolved
-                has_changed = True
+                changed.append(resolved)
             if resolved is not None and (
                 resolved.is_silent or resolved.announcement.status is AnnouncedStatus.GONE
             ):
                 self.unusable_since.setdefault(name, now)
             else:
                 self.unusable_since.pop(name, None)
-        if has_changed:
-            self.effects.append(VisibleUpstreamsChanged(tuple(self.upstreams.values())))
+        if changed:
+            self.effects.append(VisibleUpstreamsChanged(tuple(changed)))
 
     def _resolve_upstream(self, name: UpstreamId, now: Instant) -> VisibleUpstream | None:
         known = self.upstreams.get(name)
@@ -308,8 +309,11 @@
     def _remove_expired(self, now: Instant) -> None:
         """Remove upstreams that have been gone or silent for `forget_seconds`."""
         limit = self.settings.forget_seconds
-        for name in [name for name, at in self.unusable_since.items() if now - at >= limit]:
+        expired = [name for name, at in self.unusable_since.items() if now - at >= limit]
+        for name in expired:
             del self.unusable_since[name]
             self.upstreams.pop(name, None)
             for feed in self.feeds.values():
                 feed.listed.pop(name, None)
+        if expired:
+            self.effects.append(VisibleUpstreamsChanged((), tuple(expired)))
--- a/chicorypost/announcements/tests/network.py
+++ b/chicorypost/announcements/tests/network.py
@@ -88,11 +88,13 @@
                     self.deliver(to, Received(name, message))
             case UpstreamCallCompleted(call, outcome):
                 self.completed_calls.append((call, outcome))
-            case VisibleUpstreamsChanged(upstreams):
-                self.visible_upstreams = {item.announcement.upstream: item for item in upstreams}
+            case VisibleUpstreamsChanged(changed, removed):
+                self.visible_upstreams |= {item.announcement.upstream: item for item in changed}
+                for upstream in removed:
+                    self.visible_upstreams.pop(upstream, None)
                 self.ever_usable |= {
                     item.announcement.upstream
-                    for item in upstreams
+                    for item in changed
                     if item.announcement.status is AnnouncedStatus.READY and not item.is_silent
                 }
             case TableChanged(change_number):
--- a/chicorypost/cookies/__init__.py
+++ b/chicorypost/cookies/__init__.py
@@ -5,6 +5,7 @@
 from chicorypost.base._lazy import import_lazily
 
 if TYPE_CHECKING:
+    from chicorypost.cookies._index import make_cookie
     from chicorypost.cookies._packet import (
         CookiePacket,
         Decision,
@@ -14,7 +15,7 @@
         ResetFlow,
         ResetReason,
     )
-    from chicorypost.cookies._router import CookieRouter, make_cookie
+    from chicorypost.cookies._router import CookieRouter
     from chicorypost.cookies._settings import CookieSettings
 
 __all__ = [
@@ -42,6 +43,6 @@
         "ForwardPacket": "_packet",
         "ResetFlow": "_packet",
         "ResetReason": "_packet",
-        "make_cookie": "_router",
+        "make_cookie": "_index",
     },
 )
--- a/chicorypost/cookies/_choice.py
+++ b/chicorypost/cookies/_choice.py
@@ -1,17 +1,14 @@
 """Selection of the upstream of a new flow."""
 
-from collections import defaultdict
-from collections.abc import Sequence
 from random import Random
 
 from chicorypost.announcements import VisibleUpstream
-from chicorypost.base import DataCentreId, Instant
+from chicorypost.base import DataCentreId, Instant, UpstreamId
+from chicorypost.cookies._candidates import ServiceCandidates
 from chicorypost.cookies._flows import FlowTracker
 from chicorypost.cookies._settings import CookieSettings
 from chicorypost.cookies._suspects import SuspectedUpstreams
 
-Candidates = Sequence[VisibleUpstream]
-
 
 class FlowChooser:
     """Chooses a data centre by capacity, then the least loaded upstream in it.
@@ -49,13 +46,13 @@
         self.random = random
 
     def choose(
-        self, candidates: Candidates, data_centres: int, now: Instant
+        self, candidates: ServiceCandidates, data_centres: int, now: Instant
     ) -> VisibleUpstream | None:
         """Choose an upstream for a new flow.
 
         Parameters
         ----------
-        candidates : sequence of VisibleUpstream
+        candidates : ServiceCandidates
             Upstreams of the service that accept new flows.
         data_centres : int
             Number of data centres with upstreams; each is assumed to bring the same load.
@@ -67,44 +64,60 @@
         VisibleUpstream or None
             The chosen upstream; None if there is no candidate.
         """
-        usable = self._exclude_suspected([item for item in candidates if not item.is_silent], now)
-        if not usable:
-            usable = list(candidates)
-        if not usable:
+        excluded = self._find_excluded(candidates, now)
+        eligible = self._find_eligible(candidates, excluded, data_centres) or list(candidates)
+        if not eligible:
             return None
-        eligible = self._choose_data_centre(usable, data_centres)
         return min(eligible, key=lambda item: (self._score(item, now), self.random.random()))
 
-    def _choose_data_centre(
-        self, usable: list[VisibleUpstream], data_centres: int
+    def _find_excluded(
+        self, candidates: ServiceCandidates, now: Instant
+    ) -> dict[UpstreamId, VisibleUpstream]:
+        """Return the suspected upstreams, unless they are too large a share of the service."""
+        if not self.suspected_upstreams.unresponsive:
+            return {}
+        excluded = {}
+        for name in self.suspected_upstreams.unresponsive:
+            item = candidates.find_reachable(name)
+            if item is not None and self.suspected_upstreams.is_suspected(name, now):
+                excluded[name] = item
+        limit = self.settings.suspect_share * candidates.count_reachable()
+        return excluded if len(excluded) <= limit else {}
+
+    def _find_eligible(
+        self,
+        candidates: ServiceCandidates,
+        excluded: dict[UpstreamId, VisibleUpstream],
+        data_centres: int,
     ) -> list[VisibleUpstream]:
-        """Return the upstreams of the data centre chosen for the flow."""
-        by_data_centre: dict[DataCentreId, list[VisibleUpstream]] = defaultdict(list)
-        for item in usable:
-            by_data_centre[item.announcement.data_centre].append(item)
-        slots = {name: _count_slots(items) for name, items in by_data_centre.items()}
+        """Return the usable upstreams of the data centre chosen for the flow."""
+        slots = dict(candidates.slots)
+        for item in excluded.values():
+            slots[item.announcement.data_centre] -= item.announcement.slots
+        chosen = self._choose_data_centre(slots, data_centres)
+        if chosen is None:
+            usable = candidates.list_reachable()
+        else:
+            usable = list(candidates.reachable[chosen].values())
+        return [item for item in usable if item.announcement.upstream not in excluded]
+
+    def _choose_data_centre(
+        self, slots: dict[DataCentreId, int], data_centres: int
+    ) -> DataCentreId | None:
+        """Return the data centre chosen for the flow, or None for any."""
         fair_share = sum(slots.values()) / max(1, data_centres)
         own = slots.get(self.data_centre, 0)
         if self.random.random() * fair_share < own:
-            return by_data_centre[self.data_centre]
-        spare = {name: max(0.0, count - fair_share) for name, count in slots.items()}
-        spare.pop(self.data_centre, None)
+            return self.data_centre
+        spare = {
+            name: max(0.0, count - fair_share)
+            for name, count in slots.items()
+            if name != self.data_centre
+        }
         if not any(spare.values()):
-            return usable
+            return None
         names = list(spare)
-        chosen = self.random.choices(names, [spare[name] for name in names])[0]
-        return by_data_centre[chosen]
-
-    def _exclude_suspected(
-        self, candidates: list[VisibleUpstream], now: Instant
-    ) -> list[VisibleUpstream]:
-        trusted = [
-            item
-            for item in candidates
-            if not self.suspected_upstreams.is_suspected(item.announcement.upstream, now)
-        ]
-        min_trusted = (1.0 - self.settings.suspect_share) * len(candidates)
-        return trusted if len(trusted) >= min_trusted else candidates
+        return self.random.choices(names, [spare[name] for name in names])[0]
 
     def _score(self, item: VisibleUpstream, now: Instant) -> float:
         load = self.tracker.get_load(item.announcement.upstream)
@@ -112,7 +125,3 @@
         work = load.busy_flows + load.opening_flows + self.settings.idle_flow_weight * idle
         slowness = self.settings.cold_factor if now < item.warmup_ends_at else 1.0
         return (work + 1.0) * slowness / max(1, item.announcement.slots)
-
-
-def _count_slots(items: list[VisibleUpstream]) -> int:
-    return sum(item.announcement.slots for item in items)
--- a/chicorypost/cookies/_events.py
+++ b/chicorypost/cookies/_events.py
@@ -71,3 +71,10 @@
 UPSTREAM_TRUSTED = define_event(
     821, "upstream-trusted", Level.INFO, "A suspected upstream has answered again.", "upstream"
 )
+COOKIE_CONFLICT = define_event(
+    827,
+    "cookie-conflict",
+    Level.WARNING,
+    "An upstream gets no flows because one that started earlier has the same cookie.",
+    "upstream",
+)
--- a/chicorypost/cookies/_router.py
+++ b/chicorypost/cookies/_router.py
@@ -14,7 +14,6 @@
     Address,
     DataCentreId,
     Effect,
-    Endpoint,
     Event,
     FlowKey,
     Instant,
@@ -25,8 +24,14 @@
     hash64,
 )
 from chicorypost.cookies._choice import FlowChooser
-from chicorypost.cookies._events import UPSTREAM_SEEN, UPSTREAM_SUSPECTED, UPSTREAM_TRUSTED
+from chicorypost.cookies._events import (
+    COOKIE_CONFLICT,
+    UPSTREAM_SEEN,
+    UPSTREAM_SUSPECTED,
+    UPSTREAM_TRUSTED,
+)
 from chicorypost.cookies._flows import FlowTracker
+from chicorypost.cookies._index import UpstreamIndex, make_cookie
 from chicorypost.cookies._packet import (
     DROP_DECISIONS,
     RESET_DECISIONS,
@@ -40,8 +45,6 @@
 from chicorypost.cookies._suspects import SuspectedUpstreams
 from chicorypost.routing import NO_VERSION, Route, RoutingDocument
 
-MAX_COOKIE = 2**32 - 1
-
 EXPIRY_INTERVAL_SECONDS = 0.5
 """Interval of the removal of expired flows; short compared to the time limit for an opening."""
 
@@ -79,11 +82,8 @@
         )
         self.document: RoutingDocument | None = None
         self.routes: dict[Address, Route] = {}
-        self.upstreams: dict[UpstreamId, VisibleUpstream] = {}
-        self.candidates: dict[ServiceId, list[VisibleUpstream]] = {}
-        self.data_centres = 1
-        self.decision_by_cookie: dict[int, ForwardPacket] = {}
-        """Decisions for packets of open flows, built once instead of for each packet."""
+        self.index = UpstreamIndex()
+        self.decision_by_cookie = self.index.decision_by_cookie
         self.forwarded_packets = 0
         self.gone_at: dict[UpstreamId, Instant] = {}
         self.counters: Counter[str] = Counter()
@@ -96,8 +96,8 @@
             case RoutingApplied(document):
                 self.document = document
                 self.routes = {route.address: route for route in document.routes}
-            case VisibleUpstreamsChanged(upstreams):
-                self._update_upstreams(upstreams, now)
+            case VisibleUpstreamsChanged(changed, removed):
+                self._update_upstreams(changed, removed, now)
             case Tick():
                 self.next_expiry_at = Instant(now + EXPIRY_INTERVAL_SECONDS)
                 idle_seconds = self.settings.flow_idle_seconds
@@ -174,19 +174,23 @@
         """Return the number of upstreams that accept new flows of the route at an address."""
         route = self.routes.get(address)
         services = {target.service for target in route.targets} if route is not None else set()
-        return sum(len(self.candidates.get(service, ())) for service in services)
+        return sum(len(self.index.candidates.get(service, ())) for service in services)
 
     def find_unreachable_service(self) -> ServiceId | None:
         """Return a service whose upstreams are all silent or unresponsive, if any."""
-        for service, items in self.candidates.items():
+        for service, candidates in self.index.candidates.items():
             if all(
-                item.is_silent
-                or self.suspected_upstreams.is_unresponsive(item.announcement.upstream)
-                for item in items
+                self.suspected_upstreams.is_unresponsive(item.announcement.upstream)
+                for item in candidates.list_reachable()
             ):
                 return service
         return None
 
+    @property
+    def upstreams(self) -> dict[UpstreamId, VisibleUpstream]:
+        """All known upstreams."""
+        return self.index.upstreams
+
     @property
     def version(self) -> Version:
         """Version of the applied configuration; 0 before the first one."""
@@ -205,7 +209,12 @@
         chosen = self._find_previous_choice(packet, now)
         if chosen is None:
             service = choose_service(route, packet.flow)
-            chosen = self.chooser.choose(self.candidates.get(service, ()), self.data_centres, now)
+            candidates = self.index.candidates.get(service)
+            chosen = (
+                self.chooser.choose(candidates, self.index.data_centres, now)
+                if candidates is not None
+                else None
+            )
             if chosen is None:
                 return self._reset(ResetReason.NO_UPSTREAM)
             self.tracker.record_opening(packet.flow, chosen.announcement.upstream, now)
@@ -239,37 +248,35 @@
             return None
         return chosen
 
-    def _update_upstreams(self, upstreams: tuple[VisibleUpstream, ...], now: Instant) -> None:
-        current = {item.announcement.upstream: item for item in upstreams}
-        for name, item in current.items():
-            previous = self.upstreams.get(name)
-            if previous is None or _get_selection_state(previous) != _get_selection_state(item):
-                self.effects.append(_make_upstream_event(item))
-            if (
-                previous is not None
-                and previous.announcement.started_at_ms != item.announcement.started_at_ms
-            ):
-                self.suspected_upstreams.remove(name)
-            if item.announcement.status is AnnouncedStatus.GONE:
-                self.gone_at.setdefault(name, now)
-            else:
-                self.gone_at.pop(name, None)
-        for name in set(self.upstreams) - set(current):
+    def _update_upstreams(
+        self,
+        changed: tuple[VisibleUpstream, ...],
+        removed: tuple[UpstreamId, ...],
+        now: Instant,
+    ) -> None:
+        for item in changed:
+            self._record_change(item, now)
+        for name in removed:
             self.tracker.remove_upstream(name)
             self.suspected_upstreams.remove(name)
             self.gone_at.pop(name, None)
-        self.upstreams = current
-        self.data_centres = len({item.announcement.data_centre for item in upstreams})
-        self.candidates = {}
-        self.decision_by_cookie = {}
-        # If several upstreams have used an address, the one that started last is there now.
-        for item in sorted(upstreams, key=lambda item: item.announcement.started_at_ms):
-            announcement = item.announcement
-            address = (announcement.endpoint.host, announcement.endpoint.port)
-            decision = ForwardPacket(announcement.upstream, address, 0)
-            self.decision_by_cookie[make_cookie(announcement.endpoint)] = decision
-            if announcement.status is AnnouncedStatus.READY:
-                self.candidates.setdefault(announcement.service, []).append(item)
+        for name in self.index.update(changed, removed):
+            self.effects.append(COOKIE_CONFLICT.emit(upstream=name))
+
+    def _record_change(self, item: VisibleUpstream, now: Instant) -> None:
+        name = item.announcement.upstream
+        previous = self.upstreams.get(name)
+        if previous is None or _get_selection_state(previous) != _get_selection_state(item):
+            self.effects.append(_make_upstream_event(item))
+        if (
+            previous is not None
+            and previous.announcement.started_at_ms != item.announcement.started_at_ms
+        ):
+            self.suspected_upstreams.remove(name)
+        if item.announcement.status is AnnouncedStatus.GONE:
+            self.gone_at.setdefault(name, now)
+        else:
+            self.gone_at.pop(name, None)
 
     def _drop(self, reason: DropReason) -> Decision:
         self.counters[f"dropped-{reason.value}"] += 1
@@ -309,9 +316,3 @@
         if position < 0:
             return target.service
     raise AssertionError("position exceeds the total weight of the route")
-
-
-def make_cookie(endpoint: Endpoint) -> int:
-    """Return the cookie of the upstream at an endpoint: 32 bits, never 0."""
-    text = f"{endpoint.host}:{endpoint.port}"
-    return hash64(text.encode()) % MAX_COOKIE + 1
--- a/chicorypost/cookies/_suspects.py
+++ b/chicorypost/cookies/_suspects.py
@@ -27,6 +27,8 @@
     def __init__(self, settings: CookieSettings) -> None:
         self.settings = settings
         self.health: dict[UpstreamId, UpstreamHealth] = {}
+        self.unresponsive: set[UpstreamId] = set()
+        """Upstreams that haven't answered since their last unanswered opening."""
 
     def record_answer(self, upstream: UpstreamId, now: Instant) -> bool:
         """Record an answer; return whether it ends a suspicion."""
@@ -34,6 +36,7 @@
         if entry is None:
             entry = self.health[upstream] = UpstreamHealth()
         was_suspected = entry.suspicion_count > 0
+        self.unresponsive.discard(upstream)
         entry.answered_at = now
         entry.unanswered_openings = entry.suspicion_count = 0
         entry.suspected_until = NEVER
@@ -53,6 +56,7 @@
         seconds = self.settings.suspect_seconds * 2**entry.suspicion_count
         entry.suspected_until = Instant(now + min(seconds, self.settings.max_suspect_seconds))
         entry.suspicion_count += 1
+        self.unresponsive.add(upstream)
         return entry.suspicion_count == 1
 
     def is_suspected(self, upstream: UpstreamId, now: Instant) -> bool:
@@ -62,8 +66,7 @@
 
     def is_unresponsive(self, upstream: UpstreamId) -> bool:
         """Return whether an upstream has not answered since its last unanswered opening."""
-        entry = self.health.get(upstream)
-        return entry is not None and entry.suspicion_count > 0
+        return upstream in self.unresponsive
 
     def is_dead(self, upstream: UpstreamId) -> bool:
         """Return whether at least `dead_unanswered` consecutive openings were left unanswered."""
@@ -73,3 +76,4 @@
     def remove(self, upstream: UpstreamId) -> None:
         """Remove the records of an upstream."""
         self.health.pop(upstream, None)
+        self.unresponsive.discard(upstream)
--- a/chicorypost/cookies/tests/test_router.py
+++ b/chicorypost/cookies/tests/test_router.py
@@ -100,7 +100,9 @@
 
 
 def update_upstreams(router, *seen, seconds=0.0):
-    router.handle(VisibleUpstreamsChanged(seen), at(seconds))
+    """Let the router see these upstreams and no others."""
+    removed = set(router.upstreams) - {item.announcement.upstream for item in seen}
+    router.handle(VisibleUpstreamsChanged(seen, tuple(removed)), at(seconds))
 
 
 def test_packets_with_the_cookie_of_an_opening_go_to_the_same_upstream(router):
--- a/chicorypost/roles/tests/test_startup_balancer.py
+++ b/chicorypost/roles/tests/test_startup_balancer.py
@@ -218,7 +218,7 @@
     assert core.view.version == 4
     assert [feed.is_connected for feed in core.view.feeds.values()] == [False]
     assert not next(iter(core.view.upstreams.values())).is_silent
-    assert core.router.candidates
+    assert core.router.index.candidates
 
 
 @pytest.mark.parametrize(
