List the table for a balancer only when it is sent

Cause: every balancer renews its subscription each second, and each renewal made the control instance list its whole table before it found that the balancer was in step: work of instances times upstreams. Change: the feed is handed a function and lists the table only for a full page. The benchmark of the router measures the renewal too and is called upstream_costs. The new test fails before.

--- a/benchmarks/router_costs.py
+++ b/benchmarks/upstream_costs.py
@@ -1,6 +1,7 @@
-"""Processor time of a balancer for one change of an upstream and for one opening, by deployment size.
+"""Processor time that upstreams cost a balancer and a control instance, by size of the deployment.
 
-``python -m benchmarks.router_costs``
+``python -m benchmarks.upstream_costs`` measures a change of one upstream and an opening at a
+balancer, and at a control instance one renewed subscription of a balancer.
 """
 
 import time
@@ -10,12 +11,26 @@
 from chicorypost.announcements import (
     AnnouncedStatus,
     Announcement,
+    AnnouncementRegistry,
+    AnnouncementSettings,
     RoutingApplied,
+    Subscribe,
+    UpstreamCallReceived,
     VisibleUpstream,
     VisibleUpstreamsChanged,
 )
-from chicorypost.base import Address, DataCentreId, Endpoint, FlowKey, Instant, ServiceId, Version
-from chicorypost.base import UpstreamId
+from chicorypost.base import (
+    Address,
+    DataCentreId,
+    Endpoint,
+    FlowKey,
+    InstanceId,
+    Instant,
+    Received,
+    ServiceId,
+    UpstreamId,
+    Version,
+)
 from chicorypost.cookies import CookiePacket, CookieRouter, CookieSettings
 from chicorypost.routing import Retryability, Route, RoutingDocument, ServiceSpec, WeightedService
 
@@ -23,6 +38,7 @@
 """Numbers of upstreams and of services: today's sites and the size to design for."""
 DATA_CENTRES = 4
 REPETITIONS = 2000
+RENEWALS = 200
 START = Instant(0.0)
 
 
@@ -87,16 +103,32 @@
     return (time.process_time() - started_at) / REPETITIONS
 
 
+def measure_renewal(upstreams: int, services: int) -> float:
+    """Return the processor seconds of one renewed subscription at a control instance."""
+    registry = AnnouncementRegistry(AnnouncementSettings(), 1, START)
+    for number in range(upstreams):
+        announcement = make_upstream(number, services).announcement
+        registry.handle(UpstreamCallReceived("call", announcement), START)
+    balancer = InstanceId("balancer")
+    registry.handle(Received(balancer, Subscribe(0, 0)), START)
+    renewal = Received(balancer, Subscribe(1, registry.feed.subscribers[balancer].position))
+    started_at = time.process_time()
+    for _ in range(RENEWALS):
+        registry.handle(renewal, START)
+    return (time.process_time() - started_at) / RENEWALS
+
+
 def main() -> None:
     """Print a line for each size."""
     for upstreams, services in SIZES:
         router = make_router(upstreams, services)
         report(
-            "router-costs",
+            "upstream-costs",
             upstreams=upstreams,
             services=services,
             change_us=round(measure_change(router, services) * 1e6, 1),
             opening_us=round(measure_opening(router) * 1e6, 1),
+            renewal_us=round(measure_renewal(upstreams, services) * 1e6, 1),
         )
 
 
--- a/chicorypost/announcements/_feed.py
+++ b/chicorypost/announcements/_feed.py
@@ -1,5 +1,7 @@
 """The feed of a control instance: pages of changes for each subscribed balancer."""
 
+from collections.abc import Callable
+
 import msgspec
 
 from chicorypost.announcements._messages import DocumentReply, FeedPage, Subscribe
@@ -41,11 +43,14 @@
         self,
         sender: InstanceId,
         message: Subscribe,
-        all_upstreams: tuple[ListedUpstream, ...],
+        list_all_upstreams: Callable[[Instant], tuple[ListedUpstream, ...]],
         is_complete: bool,
         now: Instant,
     ) -> list[Effect]:
-        """Add or renew a subscription; send the full table if the balancer has missed a page."""
+        """Add or renew a subscription; send the full table if the balancer has missed a page.
+
+        The table is listed only if it is sent: each balancer renews its subscription every second.
+        """
         self.is_complete = is_complete
         expires_at = Instant(now + self.settings.subscriber_seconds)
         subscriber = self.subscribers.get(sender)
@@ -55,7 +60,7 @@
         position = subscriber.position if subscriber is not None else 0
         subscriber = Subscriber(position, now, expires_at)
         self.subscribers[sender] = subscriber
-        return [self._make_next_page(sender, subscriber, all_upstreams, True, now)]
+        return [self._make_next_page(sender, subscriber, list_all_upstreams(now), True, now)]
 
     def _is_current(self, subscriber: Subscriber, message: Subscribe, now: Instant) -> bool:
         if message.feed_id != self.feed_id:
--- a/chicorypost/announcements/_registry.py
+++ b/chicorypost/announcements/_registry.py
@@ -226,9 +226,8 @@
                 if is_complete and not self.is_complete:
                     self._mark_complete(now)
             case Subscribe():
-                all_upstreams = self.list_all_upstreams(now)
                 self.effects += self.feed.subscribe(
-                    sender, message, all_upstreams, self.is_complete, now
+                    sender, message, self.list_all_upstreams, self.is_complete, now
                 )
             case DocumentRequest():
                 self.effects += self.feed.send_document(sender)
--- a/chicorypost/announcements/tests/test_dissemination.py
+++ b/chicorypost/announcements/tests/test_dissemination.py
@@ -194,3 +194,21 @@
     network.run(1.0)
     network.announce("c1", msgspec.structs.replace(ready(1), warmup_ms=2000))
     assert network.visible_upstreams[ORDERS].warmup_ends_at == pytest.approx(network.now + 2.0)
+
+
+def test_a_renewed_subscription_lists_no_upstreams(network):
+    """Every balancer renews each second; listing all upstreams each time grows with both."""
+    network.announce("c1", ready(1))
+    network.run(2.0)
+    registry = network.registries["c1"]
+    listings = []
+    list_upstreams = registry.table.list_upstreams
+
+    def record_listing(now, names):
+        listings.append(list(names))
+        return list_upstreams(now, names)
+
+    registry.table.list_upstreams = record_listing
+    network.run(2.0 * SETTINGS.subscribe_seconds, make_caller(network, "c2"))
+    assert network.balancer in registry.feed.subscribers
+    assert listings == []
--- a/chicorypost/cookies/tests/test_index.py
+++ b/chicorypost/cookies/tests/test_index.py
@@ -5,7 +5,7 @@
 
 from chicorypost.announcements import AnnouncedStatus, VisibleUpstream, VisibleUpstreamsChanged
 from chicorypost.announcements.tests.test_table import announce
-from chicorypost.base import DataCentreId, UpstreamId
+from chicorypost.base import DataCentreId, ServiceId, UpstreamId
 from chicorypost.cookies import ForwardPacket, ResetFlow, ResetReason
 from chicorypost.cookies._index import UpstreamIndex, make_cookie
 from chicorypost.cookies.tests.test_router import (
@@ -69,12 +69,15 @@
     index = UpstreamIndex()
     before = make_visible(NAMES[0])
     call = msgspec.structs.replace(
-        before.announcement, service="archive", data_centre=DataCentreId("b"), started_at_ms=2000
+        before.announcement,
+        service=ServiceId("archive"),
+        data_centre=DataCentreId("b"),
+        started_at_ms=2000,
     )
     index.update([before], [])
     index.update([VisibleUpstream(call, False, START)], [])
-    assert list(index.candidates) == ["archive"]
-    assert index.candidates["archive"].slots == {"b": call.slots}
+    assert list(index.candidates) == [ServiceId("archive")]
+    assert index.candidates[ServiceId("archive")].slots == {"b": call.slots}
     assert index.data_centres == 1
 
 
