Limit the rate at which a control instance sends pages of changes

Cause: each change of an upstream was a page of its own to every balancer, so that a release of many upstreams cost a control instance messages by upstreams times balancers. Change: after ten pages in a row further changes wait up to 0.1 s for the next page (generic cell rate algorithm); several changes of one upstream become its latest state. Configurations, members and the completion of the table are still sent at once and take the waiting changes along. An upstream is told that it may leave no later than before, since peers and disk get each change at once.

--- a/benchmarks/feed_bytes.py
+++ b/benchmarks/feed_bytes.py
@@ -13,6 +13,7 @@
     AnnouncementRegistry,
     AnnouncementSettings,
     DirectoryView,
+    FeedPage,
     PeerConnected,
     PeersChanged,
     UpstreamCallReceived,
@@ -62,6 +63,7 @@
             name: DirectoryView(SETTINGS, tuple(self.controls), self.now) for name in self.balancers
         }
         self.byte_counts: dict[InstanceId, int] = {}
+        self.sent_pages = 0
         self.upstreams = upstreams
         self.first_upstream = 0
         self.sequence_numbers: dict[int, int] = {}
@@ -83,6 +85,7 @@
         for effect in list(machine.handle(event, self.now)):
             if isinstance(effect, Send):
                 size = len(encode_frame(effect.message))
+                self.sent_pages += name == self.controls[0] and isinstance(effect.message, FeedPage)
                 for end in (name, effect.to):
                     self.byte_counts[end] = self.byte_counts.get(end, 0) + size
                 self.deliver_event(effect.to, Received(name, effect.message))
@@ -138,6 +141,7 @@
     rates = {}
     for phase, replaced in (("rest", 0), ("release", upstreams // 3)):
         simulation.byte_counts.clear()
+        simulation.sent_pages = 0
         seconds = REST_SECONDS if phase == "rest" else RELEASE_SECONDS
         simulation.run(seconds, replaced)
         balancer = (
@@ -150,6 +154,7 @@
         )
         rates[f"{phase}_balancer_bytes_per_second"] = round(balancer)
         rates[f"{phase}_control_bytes_per_second"] = round(control)
+        rates[f"{phase}_control_pages_per_second"] = round(simulation.sent_pages / seconds)
     report(
         "feed-bytes",
         controls=controls,
@@ -162,9 +167,10 @@
 
 
 def main() -> None:
-    """Measure at 30, 100, 140 and 300 balancers."""
+    """Measure at 30, 100, 140 and 300 balancers, and with many upstreams."""
     argparse.ArgumentParser(description=__doc__).parse_args()
-    for controls, balancers, upstreams in ((3, 30, 16), (6, 100, 54), (6, 140, 75), (6, 300, 160)):
+    sizes = ((3, 30, 16), (6, 100, 54), (6, 140, 75), (6, 300, 160), (3, 30, 1500))
+    for controls, balancers, upstreams in sizes:
         measure(controls, balancers, upstreams)
 
 
--- a/chicorypost/announcements/_feed.py
+++ b/chicorypost/announcements/_feed.py
@@ -1,13 +1,14 @@
 """The feed of a control instance: pages of changes for each subscribed balancer."""
 
-from collections.abc import Callable
+from collections.abc import Iterable
 
 import msgspec
 
 from chicorypost.announcements._messages import DocumentReply, FeedPage, Subscribe
 from chicorypost.announcements._records import ListedUpstream
 from chicorypost.announcements._settings import AnnouncementSettings
-from chicorypost.base import Effect, InstanceId, Instant, Send, Version
+from chicorypost.announcements._table import AnnouncementTable
+from chicorypost.base import Effect, InstanceId, Instant, Send, UpstreamId, Version
 from chicorypost.routing import NO_VERSION, RoutingDocument
 
 
@@ -28,11 +29,28 @@
         Intervals and timeouts.
     feed_id : int
         Identifies this run of the process.
+    table : AnnouncementTable
+        The table to send.
+    now : Instant
+        Current time.
+
+    Notes
+    -----
+    A page of changes costs one message a subscriber, so the rate of pages is limited by the
+    generic cell rate algorithm (ITU-T I.371): up to `page_burst` pages are sent at once, and
+    further changes wait for the next of the pages that follow every `page_seconds`.
     """
 
-    def __init__(self, settings: AnnouncementSettings, feed_id: int) -> None:
+    def __init__(
+        self, settings: AnnouncementSettings, feed_id: int, table: AnnouncementTable, now: Instant
+    ) -> None:
         self.settings = settings
         self.feed_id = feed_id
+        self.table = table
+        self.unsent: dict[UpstreamId, None] = {}
+        """Changed upstreams that are not sent yet, in the order of their changes."""
+        self.next_page_at = now
+        """When the next page would be due if pages were sent every `page_seconds`."""
         self.subscribers: dict[InstanceId, Subscriber] = {}
         self.controls: tuple[InstanceId, ...] = ()
         self.version: Version = NO_VERSION
@@ -43,7 +61,6 @@
         self,
         sender: InstanceId,
         message: Subscribe,
-        list_all_upstreams: Callable[[Instant], tuple[ListedUpstream, ...]],
         is_complete: bool,
         now: Instant,
     ) -> list[Effect]:
@@ -60,7 +77,7 @@
         position = subscriber.position if subscriber is not None else 0
         subscriber = Subscriber(position, now, expires_at)
         self.subscribers[sender] = subscriber
-        return [self._make_next_page(sender, subscriber, list_all_upstreams(now), True, now)]
+        return [self._make_next_page(sender, subscriber, self._list_all(now), True, now)]
 
     def _is_current(self, subscriber: Subscriber, message: Subscribe, now: Instant) -> bool:
         if message.feed_id != self.feed_id:
@@ -71,27 +88,41 @@
         return now - subscriber.sent_at < self.settings.subscribe_seconds and message.position > 0
 
     def publish(
-        self, listed: tuple[ListedUpstream, ...], is_complete: bool, now: Instant
+        self, changed: Iterable[UpstreamId], is_complete: bool, now: Instant
     ) -> list[Effect]:
-        """Send a page of changes to every subscriber."""
+        """Send changed upstreams to every subscriber as soon as the rate of pages allows it."""
         self.is_complete = is_complete
-        return [
-            self._make_next_page(name, subscriber, listed, False, now)
-            for name, subscriber in self.subscribers.items()
-        ]
+        self.unsent |= dict.fromkeys(changed)
+        return self.send_due_page(now)
+
+    def send_due_page(self, now: Instant) -> list[Effect]:
+        """Send the changes that are not sent yet, if the next page is due."""
+        due_at = self.next_deadline()
+        return self._send_pages(now) if due_at is not None and now >= due_at else []
+
+    def next_deadline(self) -> Instant | None:
+        """Return when a page is due, or None without changes to send."""
+        if not self.unsent:
+            return None
+        return Instant(self.next_page_at - self.settings.page_burst * self.settings.page_seconds)
+
+    def mark_complete(self, now: Instant) -> list[Effect]:
+        """Tell every subscriber that the table is complete."""
+        self.is_complete = True
+        return self._send_pages(now)
 
     def set_controls(self, controls: tuple[InstanceId, ...], now: Instant) -> list[Effect]:
         """Send the list of control instances to every subscriber if it has changed."""
         if controls == self.controls:
             return []
         self.controls = controls
-        return self.publish((), self.is_complete, now)
+        return self._send_pages(now)
 
     def set_document(self, document: RoutingDocument, now: Instant) -> list[Effect]:
         """Store a newer configuration and send its version to every subscriber."""
         self.document = document
         self.version = document.version
-        return self.publish((), self.is_complete, now)
+        return self._send_pages(now)
 
     def send_document(self, sender: InstanceId) -> list[Effect]:
         """Send the newest configuration to a balancer, if there is one."""
@@ -105,6 +136,18 @@
         for name in expired:
             del self.subscribers[name]
 
+    def _list_all(self, now: Instant) -> tuple[ListedUpstream, ...]:
+        return self.table.list_upstreams(now, list(self.table.entries))
+
+    def _send_pages(self, now: Instant) -> list[Effect]:
+        listed = self.table.list_upstreams(now, list(self.unsent))
+        self.unsent.clear()
+        self.next_page_at = Instant(max(self.next_page_at, now) + self.settings.page_seconds)
+        return [
+            self._make_next_page(name, subscriber, listed, False, now)
+            for name, subscriber in self.subscribers.items()
+        ]
+
     def _make_next_page(
         self,
         name: InstanceId,
--- a/chicorypost/announcements/_registry.py
+++ b/chicorypost/announcements/_registry.py
@@ -93,7 +93,7 @@
     def __init__(self, settings: AnnouncementSettings, feed_id: int, now: Instant) -> None:
         self.settings = settings
         self.table = AnnouncementTable()
-        self.feed = Feed(settings, feed_id)
+        self.feed = Feed(settings, feed_id, self.table, now)
         self.dissemination = Dissemination(next_send_at=now)
         self.peers: tuple[InstanceId, ...] = ()
         self.connected_peers: set[InstanceId] = set()
@@ -140,9 +140,11 @@
 
     def next_deadline(self) -> Instant | None:
         """Return when the registry next needs a `Tick`."""
-        return min(
-            [self.dissemination.next_send_at, *(pending.deadline for pending in self.pending_calls)]
-        )
+        deadlines = [pending.deadline for pending in self.pending_calls]
+        page_due_at = self.feed.next_deadline()
+        if page_due_at is not None:
+            deadlines.append(page_due_at)
+        return min([self.dissemination.next_send_at, *deadlines])
 
     def dump(self) -> dict[str, Any]:
         """Return the complete decision state as JSON-compatible values."""
@@ -199,14 +201,14 @@
         """Send changed entries to balancers and, if `replicate`, to peers."""
         if not changed:
             return
-        listed = self.table.list_upstreams(now, changed)
         if replicate:
             self.dissemination.change_number += 1
         self.effects.append(TableChanged(self.dissemination.change_number))
         if replicate:
+            listed = self.table.list_upstreams(now, changed)
             for peer in self.peers:
                 self._send(peer, ReplicateChanges(self.dissemination.change_number, listed))
-        self.effects += self.feed.publish(listed, self.is_complete, now)
+        self.effects += self.feed.publish(changed, self.is_complete, now)
 
     def _receive(self, sender: InstanceId, message: Message, now: Instant) -> None:
         match message:
@@ -226,9 +228,7 @@
                 if is_complete and not self.is_complete:
                     self._mark_complete(now)
             case Subscribe():
-                self.effects += self.feed.subscribe(
-                    sender, message, self.list_all_upstreams, self.is_complete, now
-                )
+                self.effects += self.feed.subscribe(sender, message, self.is_complete, now)
             case DocumentRequest():
                 self.effects += self.feed.send_document(sender)
             case _:
@@ -298,10 +298,11 @@
 
     def _mark_complete(self, now: Instant) -> None:
         self.is_complete = True
-        self.effects += self.feed.publish((), self.is_complete, now)
+        self.effects += self.feed.mark_complete(now)
 
     def _check_deadlines(self, now: Instant) -> None:
         self._complete_calls([pending for pending in self.pending_calls if now >= pending.deadline])
+        self.effects += self.feed.send_due_page(now)
         if now < self.dissemination.next_send_at:
             return
         self.dissemination.next_send_at = Instant(now + self.settings.spread_seconds)
--- a/chicorypost/announcements/_settings.py
+++ b/chicorypost/announcements/_settings.py
@@ -29,6 +29,11 @@
         Interval at which a balancer renews its subscription.
     subscriber_seconds : float, default 5.0
         Time after which a subscription expires unless it is renewed.
+    page_seconds : float, default 0.1
+        Mean interval of the pages of changes while there are many; small compared to the time in
+        which an upstream that leaves must get no more work.
+    page_burst : int, default 10
+        Pages of changes that are sent without waiting for that interval.
     forget_seconds : float, default 120.0
         How long a gone or silent upstream is remembered, so that its delayed calls are recognised
         as outdated.
@@ -39,6 +44,8 @@
     hold_seconds: Annotated[float, Bound(gt=0)] = 0.4
     subscribe_seconds: Annotated[float, Bound(gt=0)] = 1.0
     subscriber_seconds: Annotated[float, Bound(gt=0)] = 5.0
+    page_seconds: Annotated[float, Bound(gt=0)] = 0.1
+    page_burst: Annotated[int, Bound(ge=0)] = 10
     forget_seconds: Annotated[float, Bound(gt=0)] = 120.0
 
     @property
--- a/chicorypost/announcements/tests/test_dissemination.py
+++ b/chicorypost/announcements/tests/test_dissemination.py
@@ -211,4 +211,43 @@
     registry.table.list_upstreams = record_listing
     network.run(2.0 * SETTINGS.subscribe_seconds, make_caller(network, "c2"))
     assert network.balancer in registry.feed.subscribers
-    assert listings == []
+    assert not any(listings)
+
+
+def make_release(network, count=200):
+    """Let many upstreams of a data centre announce themselves within a tenth of a second."""
+    network.run(3.0)
+    feed = network.registries["c1"].feed
+    before = feed.subscribers[network.balancer].position
+    for number in range(count):
+        network.announce("c1", ready(1, UpstreamId(f"i-{number}"), f"10.1.0.{number}"))
+    return lambda: feed.subscribers[network.balancer].position - before
+
+
+def test_many_changes_at_once_cost_few_pages(network):
+    """Pattern: release of many upstreams; a page for each would be a message a balancer each."""
+    count_pages = make_release(network)
+    network.run(SETTINGS.page_seconds + 0.05)
+    assert count_pages() <= SETTINGS.page_burst + 3
+    assert all(UpstreamId(f"i-{number}") in network.visible_upstreams for number in range(200))
+
+
+def test_a_drain_among_many_changes_reaches_the_balancer_with_the_next_page(network):
+    make_release(network)
+    network.announce("c1", draining(9), "drain")
+    network.run(SETTINGS.page_seconds + 0.05)
+    assert network.visible_upstreams[ORDERS].announcement.status is AnnouncedStatus.DRAINING
+
+
+def test_pages_of_lasting_changes_keep_their_rate(network):
+    count_pages = make_release(network, count=0)
+    numbers = iter(range(10_000))
+
+    def change_twenty():
+        for _ in range(20):
+            number = next(numbers)
+            network.announce("c1", ready(1, UpstreamId(f"i-{number}"), f"10.1.0.{number}"))
+
+    network.run(4.0, change_twenty)
+    assert next(numbers) > 150
+    assert count_pages() <= SETTINGS.page_burst + 4.0 / SETTINGS.page_seconds + 2
