--- a/chicorypost/daemons/tests/test_exchanges.py
+++ b/chicorypost/daemons/tests/test_exchanges.py
@@ -1,4 +1,4 @@
-"""A second copy of a response never becomes the response to the next request."""
+"""Exchanges with upstreams that send a response twice, or that fall silent."""
 
 from contextlib import suppress
 from functools import partial
@@ -84,17 +84,42 @@
         self.posted.append(event)
 
 
-async def exchange_twice(server):
-    """Make two exchanges one after the other; return their results."""
+class SilentServer:
+    """A server that answers the first requests of each connection and then falls silent.
+
+    The connection stays open, as when something between both ends has lost track of it.
+    """
+
+    idle_copy_sent = None
+    copy_at = ""
+
+    def __init__(self, answered):
+        self.answered = answered
+        self.connections = 0
+        self.closed = 0
+
+    async def serve(self, stream):
+        self.connections += 1
+        answered = 0
+        with suppress(trio.BrokenResourceError):
+            while data := await stream.receive_some():
+                if self.connections > 1 or answered < self.answered:
+                    answered += 1
+                    await stream.send_all(CopyingServer("", True).make_response(data))
+        self.closed += 1
+
+
+async def exchange_several(server, count, deadline_seconds=DEADLINE_SECONDS):
+    """Make exchanges one after the other; return their results."""
     async with trio.open_nursery() as nursery:
         serve = partial(trio.serve_tcp, server.serve, 0, host="127.0.0.1")
         (listener,) = await nursery.start(serve)
         upstream = make_upstream(listener.socket.getsockname()[1])
         engine = RecordingEngine()
         runner = UpstreamExchangeRunner(engine, lambda now: True, 1000, nursery)
-        for number in (1, 2):
+        for number in range(1, count + 1):
             request = HttpRequest("GET", f"/{number}", (), b"")
-            deadline = Instant(trio.current_time() + DEADLINE_SECONDS)
+            deadline = Instant(trio.current_time() + deadline_seconds)
             runner.start_exchange(
                 StartExchange(AttemptId(f"attempt-{number}"), upstream, request, deadline)
             )
@@ -110,18 +135,29 @@
 @pytest.mark.parametrize("names_attempts", [True, False])
 @pytest.mark.parametrize("copy_at", ["at once", "idle", "next"])
 def test_second_copy_of_a_response_reaches_no_other_caller(copy_at, names_attempts):
-    first, second = trio.run(exchange_twice, CopyingServer(copy_at, names_attempts))
+    first, second = trio.run(exchange_several, CopyingServer(copy_at, names_attempts), 2)
     assert first.outcome is DispatchOutcome.RESPONDED
     assert first.response.body == b"/1"
     assert second.response is None or second.response.body == b"/2"
 
 
 def test_a_copy_that_names_another_attempt_leaves_the_outcome_unknown():
-    _, second = trio.run(exchange_twice, CopyingServer("next", True))
+    _, second = trio.run(exchange_several, CopyingServer("next", True), 2)
     assert second.outcome is DispatchOutcome.UNKNOWN
     assert second.response is None
 
 
 def test_an_upstream_that_names_no_attempt_is_still_answered():
-    first, second = trio.run(exchange_twice, CopyingServer("idle", False))
+    first, second = trio.run(exchange_several, CopyingServer("idle", False), 2)
     assert (first.response.body, second.response.body) == (b"/1", b"/2")
+
+
+@pytest.mark.parametrize("answered", [0, 1])
+def test_a_silent_connection_ends_at_the_deadline_and_is_not_used_again(answered):
+    server = SilentServer(answered)
+    results = trio.run(exchange_several, server, answered + 2, 0.3)
+    outcomes = [result.outcome for result in results]
+    responded = DispatchOutcome.RESPONDED
+    assert outcomes == [responded] * answered + [DispatchOutcome.UNKNOWN, responded]
+    assert results[-1].response.body == f"/{answered + 2}".encode()
+    assert server.connections == 2
