--- a/tests/test_fault_matrix.py
+++ b/tests/test_fault_matrix.py
@@ -24,12 +24,28 @@
     "two faults together",
 )
 PROMISE_COUNT = 8
+REPORTS_HEADING = "## Reports of other operators"
+REPORT_COUNT = 7
+WAYS = ("daemons", "roles")
+
+
+def read_page() -> tuple[str, str]:
+    """Return the part with the promises and the part with the reports."""
+    promises, _, reports = FAULTS_PAGE.read_text(encoding="utf-8").partition(REPORTS_HEADING)
+    return promises, reports
+
+
+def read_report_cells() -> list[tuple[str, str, str]]:
+    """Return the report, the way to run and the text of each cell of the reports."""
+    rows = re.findall(r"^\| ([^|]+) \| ([^|]+) \| ([^|]+) \|$", read_page()[1], re.MULTILINE)
+    rows = [row for row in rows if row[0] not in ("report", "---")]
+    return [(row[0], way, text) for row in rows for way, text in zip(WAYS, row[1:], strict=True)]
 
 
 def read_cells() -> list[tuple[str, str, str]]:
     """Return the promise, fault and text of each cell of the matrix."""
     promise, cells = "", []
-    for line in FAULTS_PAGE.read_text(encoding="utf-8").splitlines():
+    for line in read_page()[0].splitlines():
         if line.startswith("## "):
             promise = line[3:]
         row = re.fullmatch(r"\| ([^|]+) \| (.+) \|", line)
@@ -39,6 +55,7 @@
 
 
 CELLS = read_cells()
+REPORT_CELLS = read_report_cells()
 
 
 @cache
@@ -70,3 +87,15 @@
         assert name in top_level_names(file), f"{file} has no {name}"
         assert name.lower().startswith("test")
     assert tests or text.startswith(("Can't occur, because ", "Not proved"))
+
+
+def test_every_report_has_a_cell_for_both_ways_to_run():
+    assert len(REPORT_CELLS) == REPORT_COUNT * len(WAYS)
+
+
+@pytest.mark.parametrize(("report", "way", "text"), REPORT_CELLS, ids=lambda value: value[:24])
+def test_each_cell_of_a_report_names_tests_or_a_reason(report, way, text):
+    tests = TEST_ID.findall(text)
+    for file, name in tests:
+        assert name in top_level_names(file), f"{file} has no {name}"
+    assert tests or text.startswith(("Can't occur, because ", "Not proved"))
