Replace the longest idle connection at the limit, and read settings of more deployments

(2) A null address, a null limit or a fraction of a millisecond in the settings file ended the process. Change: at its limit a listener closes the connection that is idle for longest and refuses only if all have requests in progress; a control instance gives callers half of its descriptors, and has metrics of both. Addresses and limits may be null, intervals may have fractions. Result: the new tests of the limit and of the settings fail before and pass now.

--- a/chicorypost/platform/_settings.py
+++ b/chicorypost/platform/_settings.py
@@ -16,13 +16,14 @@
 
 
 class _Listen(msgspec.Struct):
-    datagram_addr: str = ""  # where the network fabric sends packets
-    readiness_addr: str = ""  # where the network fabric sends readiness probes
-    control: str = ""  # where operators and upstreams send calls
+    datagram_addr: str | None = None  # where the network fabric sends packets
+    readiness_addr: str | None = None  # where the network fabric sends readiness probes
+    control: str | None = None  # where operators and upstreams send calls
 
 
 class _Limits(msgspec.Struct):
-    link_mbps: float = 0.0  # capacity of the link in Mbit/s; 0 if unknown
+    link_mbps: float | None = None  # capacity of the link in Mbit/s
+    max_fds: int | None = None  # descriptors that the process may have open
 
 
 class _FaultTolerance(msgspec.Struct):
@@ -44,7 +45,7 @@
     seeds: list[str]
     bootstrap: bool = False  # whether the system starts for the first time
     data_dir: str | None = None
-    heartbeat_interval_ms: int = 1000  # how often upstreams announce themselves
+    heartbeat_interval_ms: float = 1000.0  # how often upstreams announce themselves
     limits: _Limits = msgspec.field(default_factory=_Limits)
     fault_tolerance: _FaultTolerance = msgspec.field(default_factory=_FaultTolerance)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
@@ -86,6 +87,8 @@
         Seconds between the stop signal and the kill.
     link_bytes_per_second : float or None
         Capacity of the machine's link; None if the settings file has none.
+    max_descriptors : int or None
+        Number of descriptors that the process may have open; None if the settings file has none.
     """
 
     name: str
@@ -102,6 +105,7 @@
     lost_disks: int
     stop_seconds: float
     link_bytes_per_second: float | None = None
+    max_descriptors: int | None = None
 
 
 class InvalidNodeSettings(msgspec.Struct, frozen=True):
@@ -151,13 +155,14 @@
             announcement_seconds=file.heartbeat_interval_ms / 1000,
             lost_disks=file.fault_tolerance.machines,
             stop_seconds=file.bounds.grace_s,
-            link_bytes_per_second=file.limits.link_mbps * BYTES_PER_MEGABIT or None,
+            link_bytes_per_second=(file.limits.link_mbps or 0.0) * BYTES_PER_MEGABIT or None,
+            max_descriptors=file.limits.max_fds,
         )
     except (msgspec.DecodeError, msgspec.ValidationError, ValueError, OverflowError) as error:
         return InvalidNodeSettings(str(error))
 
 
-def _read_optional_endpoint(text: str) -> Endpoint | None:
+def _read_optional_endpoint(text: str | None) -> Endpoint | None:
     return read_endpoint(text) if text else None
 
 
--- a/chicorypost/platform/tests/test_readers.py
+++ b/chicorypost/platform/tests/test_readers.py
@@ -362,6 +362,23 @@
     assert (node.lost_disks, node.announcement_seconds, node.founds) == (2, 0.77, True)
 
 
+def test_settings_of_another_deployment_are_decoded():
+    """Fields that don't apply are null or missing, and figures may have fractions."""
+    listen = {"control": "10.1.0.13:8166", "datagram_addr": None, "readiness_addr": None}
+    changes = {
+        "listen": listen,
+        "seeds": [],
+        "heartbeat_interval_ms": 512.5,
+        "limits": {"link_mbps": None, "max_fds": 4096, "cpu_cores": None},
+        "bounds": {"grace_s": 2.5, "flag": True},
+    }
+    node = read_node_settings(encode_changed(SETTINGS, **changes))
+    assert isinstance(node, NodeSettings)
+    assert node.packets is None and node.control == Endpoint("10.1.0.13", 8166)
+    assert (node.link_bytes_per_second, node.max_descriptors) == (None, 4096)
+    assert (node.announcement_seconds, node.stop_seconds, node.seeds) == (0.5125, 2.5, ())
+
+
 @given(st.binary(max_size=40) | ANY_JSON.map(lambda value: json.dumps(value).encode()))
 def test_any_file_is_settings_or_invalid(data):
     assert isinstance(read_node_settings(data), NodeSettings | InvalidNodeSettings)
--- a/chicorypost/roles/_control.py
+++ b/chicorypost/roles/_control.py
@@ -1,6 +1,7 @@
 """The control role: replicated configuration, calls of upstreams and operators, and the feed."""
 
 import time
+from dataclasses import replace
 from functools import partial
 from pathlib import Path
 from random import Random
@@ -81,6 +82,8 @@
 """Each record holds a whole configuration, so few are kept in memory."""
 MAX_DOCUMENT_BYTES = 2 * 1024 * 1024
 """Largest configuration; enough for thousands of routes."""
+CALLER_DESCRIPTOR_SHARE = 0.5
+"""Share of the descriptors for callers; the rest is for balancers, other instances and files."""
 DRAIN_TIMEOUT_SECONDS = 1.5
 """How long calls in progress may take after a stop has begun."""
 
@@ -150,6 +153,9 @@
 
     def _make_http_server(self) -> HttpServer:
         http = HttpSettings(body_bytes=MAX_DOCUMENT_BYTES)
+        if self.settings.max_descriptors is not None:
+            connections = int(CALLER_DESCRIPTOR_SHARE * self.settings.max_descriptors)
+            http = replace(http, connections=max(1, connections))
         return HttpServer("control", http, self.call_handler.handle, self.event_log.emit)
 
     def _send(self, to: InstanceId, message: Message) -> None:
@@ -219,6 +225,8 @@
                 "disk_refuses": float(self.replica_host.replica is None),
                 "upstreams": len(self.registry.table.entries),
                 "subscribers": len(self.registry.feed.subscribers),
+                "caller_connections": self.http_server.open_connections,
+                "evicted_caller_connections": self.http_server.evicted_connections,
             },
             {"call_seconds": self.call_handler.call_seconds},
         )
--- a/chicorypost/transport/_http.py
+++ b/chicorypost/transport/_http.py
@@ -89,8 +89,10 @@
     requests_in_progress: int = 0
     refused_requests: int = 0
     failed_requests: int = 0
+    evicted_connections: int = 0
     is_stopping: bool = False
-    idle_scopes: set[trio.CancelScope] = msgspec.field(default_factory=set)
+    idle_scopes: dict[trio.CancelScope, None] = msgspec.field(default_factory=dict)
+    """Connections without a request, the one that is idle for longest first."""
     accept_scope: trio.CancelScope = msgspec.field(default_factory=trio.CancelScope)
 
     async def serve(self, listeners: list[trio.SocketListener]) -> None:
@@ -111,7 +113,7 @@
 
     async def serve_connection(self, stream: trio.abc.Stream) -> None:
         """Serve one connection until it is closed; a handler for `trio.serve_listeners`."""
-        if self.open_connections >= self.settings.connections:
+        if self.open_connections >= self.settings.connections and not self._evict_idle_connection():
             self.emit(CONNECTIONS_FULL.emit(listener=self.name))
             await trio.aclose_forcefully(stream)
             return
@@ -139,6 +141,16 @@
         for scope in self.idle_scopes:
             scope.deadline = min(scope.deadline, self._idle_deadline())
 
+    def _evict_idle_connection(self) -> bool:
+        """Close the connection that is idle for longest; return False if all are in use."""
+        scope = next(iter(self.idle_scopes), None)
+        if scope is None:
+            return False
+        del self.idle_scopes[scope]
+        scope.cancel()
+        self.evicted_connections += 1
+        return True
+
     def _idle_deadline(self) -> float:
         settings = self.settings
         seconds = settings.linger_seconds if self.is_stopping else settings.idle_seconds
@@ -192,11 +204,11 @@
 
     async def _wait_for_bytes(self, connection: h11.Connection, stream: trio.abc.Stream) -> bool:
         with trio.move_on_at(self._idle_deadline()) as idle_scope:
-            self.idle_scopes.add(idle_scope)
+            self.idle_scopes[idle_scope] = None
             try:
                 data = await stream.receive_some(RECEIVE_BYTES)
             finally:
-                self.idle_scopes.discard(idle_scope)
+                self.idle_scopes.pop(idle_scope, None)
         if idle_scope.cancelled_caught or not data:
             return False
         connection.receive_data(bytes(data))
--- a/chicorypost/transport/_settings.py
+++ b/chicorypost/transport/_settings.py
@@ -95,7 +95,8 @@
         During a stop, the time after which a connection without a request is closed: requests that
         are on their way then are still answered.
     connections : int, default 10000
-        Maximum number of connections that are open at a time.
+        Maximum number of connections that are open at a time. At that number a new connection
+        replaces the one that is idle for longest, and is refused if none is idle.
     """
 
     __pydantic_config__ = {"extra": "forbid"}
--- a/chicorypost/transport/tests/test_transport.py
+++ b/chicorypost/transport/tests/test_transport.py
@@ -129,10 +129,10 @@
     assert received == [TextMessage("still served")]
 
 
-def run_http_scenario(handler, run_client):
+def run_http_scenario(handler, run_client, connections=100):
     async def scenario(nursery):
         (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
-        settings = HttpSettings(body_bytes=1000, header_bytes=512)
+        settings = HttpSettings(body_bytes=1000, header_bytes=512, connections=connections)
         server = HttpServer("test", settings, handler, lambda emit: None)
         serve = functools.partial(trio.serve_listeners, server.serve_connection, [listener])
         nursery.start_soon(serve)
@@ -426,3 +426,43 @@
             assert await stream.receive_some() == b""
 
     run_http_scenario(echo, run_client)
+
+
+def test_a_new_connection_replaces_the_one_that_is_idle_for_longest():
+    """Idle connections up to the limit would keep every operator out."""
+
+    async def run_client(endpoint, server):
+        streams = []
+        for number in range(5):
+            stream = await trio.open_tcp_stream(endpoint.host, endpoint.port)
+            await stream.send_all(b"GET /%d HTTP/1.1\r\nhost: a\r\n\r\n" % number)
+            assert (await stream.receive_some()).endswith(b"/%d" % number)
+            streams.append(stream)
+        with trio.fail_after(1.0):
+            assert [await stream.receive_some() for stream in streams[:2]] == [b"", b""]
+        await streams[2].send_all(b"GET /again HTTP/1.1\r\nhost: a\r\n\r\n")
+        assert (await streams[2].receive_some()).endswith(b"/again")
+        assert (server.open_connections, server.evicted_connections) == (3, 2)
+
+    run_http_scenario(echo, run_client, connections=3)
+
+
+def test_a_new_connection_is_refused_if_all_others_have_requests_in_progress():
+    release = trio.Event()
+
+    async def wait_then_echo(request):
+        await release.wait()
+        return await echo(request)
+
+    async def run_client(endpoint, server):
+        busy = await trio.open_tcp_stream(endpoint.host, endpoint.port)
+        await busy.send_all(b"GET /busy HTTP/1.1\r\nhost: a\r\n\r\n")
+        while not server.requests_in_progress:
+            await trio.sleep(0.01)
+        late = await trio.open_tcp_stream(endpoint.host, endpoint.port)
+        with trio.fail_after(1.0):
+            assert await late.receive_some() == b""
+        release.set()
+        assert (await busy.receive_some()).endswith(b"/busy")
+
+    run_http_scenario(wait_then_echo, run_client, connections=1)
