Answer calls that need no waiting without a task of their own

Each request ran in a nursery with a second task that watches for a disconnect, though nearly all announcements are answered at once, as are readiness probes, of which each balancer gets two a second. Change: a handler may return the response itself; only a response that has to wait for something is awaited in a nursery. Announcements that change nothing and readiness probes are answered so. The tests of two exchanges on a connection and of unexpected errors run with both kinds of handler.

--- a/chicorypost/cookies/tests/test_router.py
+++ b/chicorypost/cookies/tests/test_router.py
@@ -125,7 +125,7 @@
 
 def send_copies(router, flow=b"f", delay=0.0, answer_at=None):
     """Send an opening and its copies at the times of a client; return the chosen upstreams."""
-    chosen = []
+    chosen: list[str] = []
     for copy, seconds in enumerate(COPY_TIMES):
         if answer_at is not None and chosen and COPY_TIMES[copy - 1] <= answer_at < seconds:
             router.route(following(b"other", cookie_of(chosen[0])), at(answer_at))
--- a/chicorypost/roles/_balancer.py
+++ b/chicorypost/roles/_balancer.py
@@ -91,7 +91,7 @@
             return "stopping"
         return self.core.missing_prerequisite() or self.core.isolation_reason()
 
-    async def _respond(self, request: "HttpServerRequest") -> "HttpServerResponse":
+    def _respond(self, request: "HttpServerRequest") -> "HttpServerResponse":
         from chicorypost.platform import (
             SimpleCall,
             make_not_found_response,
--- a/chicorypost/roles/_control_calls.py
+++ b/chicorypost/roles/_control_calls.py
@@ -1,5 +1,7 @@
 """HTTP calls of operators and upstreams to a control instance."""
 
+from collections.abc import Awaitable
+from typing import Any
 from uuid import uuid4
 
 import trio
@@ -79,33 +81,45 @@
         self.event_log = event_log
         self.call_seconds = PlainHistogram()
 
-    async def handle(self, request: HttpServerRequest) -> HttpServerResponse:
-        """Handle one call and record its duration."""
+    def handle(
+        self, request: HttpServerRequest
+    ) -> HttpServerResponse | Awaitable[HttpServerResponse]:
+        """Handle one call and record its duration.
+
+        Nearly all calls are announcements that change nothing; their response is returned at once.
+        """
         started_at = trio.current_time()
-        response = await self._respond(request)
+        response = self._respond(request)
+        if not isinstance(response, HttpServerResponse):
+            return self._finish(response, started_at)
+        self.call_seconds.observe(trio.current_time() - started_at)
+        return response
+
+    async def _finish(
+        self, awaitable: Awaitable[HttpServerResponse], started_at: float
+    ) -> HttpServerResponse:
+        response = await awaitable
         self.call_seconds.observe(trio.current_time() - started_at)
         return response
 
-    async def _respond(self, request: HttpServerRequest) -> HttpServerResponse:
+    def _respond(
+        self, request: HttpServerRequest
+    ) -> HttpServerResponse | Awaitable[HttpServerResponse]:
         match read_call(request):
             case AnnounceCall(upstream_name):
-                return await self._announce(
-                    upstream_name, read_announcement(upstream_name, request.body)
-                )
+                return self._announce(upstream_name, read_announcement(upstream_name, request.body))
             case LeaveCall(upstream_name):
-                return await self._announce(
-                    upstream_name, read_leave_notice(upstream_name, request.body)
-                )
+                return self._announce(upstream_name, read_leave_notice(upstream_name, request.body))
             case SimpleCall.PUT_CONFIGURATION:
-                return await self._put_configuration(request)
+                return self._put_configuration(request)
             case SimpleCall.GET_CONFIGURATION:
-                return await self._get_configuration(request)
+                return self._get_configuration(request)
             case _:
                 return make_not_found_response()
 
-    async def _announce(
+    def _announce(
         self, upstream_name: str, upstream_call: Announcement | LeaveNotice | InvalidAnnouncement
-    ) -> HttpServerResponse:
+    ) -> HttpServerResponse | Awaitable[HttpServerResponse]:
         refusal_reason = self._find_refusal_reason(upstream_call)
         if refusal_reason is not None or isinstance(upstream_call, InvalidAnnouncement):
             reason = refusal_reason or "unreadable"
@@ -113,14 +127,13 @@
             self.event_log.emit(event)
             return make_bad_request_response(reason)
         call_id = uuid4().hex
-        outcome = await self.pending_outcomes.post_and_wait(
-            call_id, UpstreamCallReceived(call_id, upstream_call), ANNOUNCEMENT_TIMEOUT_SECONDS
+        outcome = self.pending_outcomes.post(call_id, UpstreamCallReceived(call_id, upstream_call))
+        return self._wait_for_replication(call_id) if outcome is None else _make_response(outcome)
+
+    async def _wait_for_replication(self, call_id: str) -> HttpServerResponse:
+        return _make_response(
+            await self.pending_outcomes.wait(call_id, ANNOUNCEMENT_TIMEOUT_SECONDS)
         )
-        if not isinstance(outcome, UpstreamCallCompleted):
-            return make_unavailable_response("other control instances don't answer")
-        if outcome.outcome is AnnouncementOutcome.NOT_YET_KNOWN:
-            return make_unavailable_response("this instance doesn't know all upstreams yet")
-        return make_ok_response()
 
     def _find_refusal_reason(
         self, upstream_call: Announcement | LeaveNotice | InvalidAnnouncement
@@ -168,3 +181,12 @@
         if leader is None or leader == self.instance:
             return make_unavailable_response("no quorum confirms that this instance is current")
         return make_redirect_response(leader, request)
+
+
+def _make_response(outcome: Any) -> HttpServerResponse:
+    """Return the response to an announcement or leave notice, by the effect that completed it."""
+    if not isinstance(outcome, UpstreamCallCompleted):
+        return make_unavailable_response("other control instances don't answer")
+    if outcome.outcome is AnnouncementOutcome.NOT_YET_KNOWN:
+        return make_unavailable_response("this instance doesn't know all upstreams yet")
+    return make_ok_response()
--- a/chicorypost/roles/tests/test_control_calls.py
+++ b/chicorypost/roles/tests/test_control_calls.py
@@ -28,7 +28,7 @@
 from chicorypost.roles._control_calls import ControlCallHandler
 from chicorypost.roles._pending_outcomes import PendingOutcomes
 from chicorypost.routing import RoutingState
-from chicorypost.transport import HttpServerRequest
+from chicorypost.transport import HttpServerRequest, HttpServerResponse
 
 LEADER = InstanceId("10.0.0.2:80")
 
@@ -79,8 +79,12 @@
 
     def call(self, method, path, body=b""):
         request = HttpServerRequest(method, path, (), body)
-        clock = trio.testing.MockClock(autojump_threshold=0.0)
-        return trio.run(self.handler.handle, request, clock=clock)
+
+        async def handle():
+            response = self.handler.handle(request)
+            return response if isinstance(response, HttpServerResponse) else await response
+
+        return trio.run(handle, clock=trio.testing.MockClock(autojump_threshold=0.0))
 
     def put(self, **changes):
         body = json.dumps(CONFIGURATION | changes).encode()
--- a/chicorypost/transport/_http.py
+++ b/chicorypost/transport/_http.py
@@ -50,7 +50,8 @@
     headers: tuple[tuple[str, str], ...] = ()
 
 
-Handler = Callable[[HttpServerRequest], Awaitable[HttpServerResponse]]
+Handler = Callable[[HttpServerRequest], HttpServerResponse | Awaitable[HttpServerResponse]]
+"""Returns the response, or an awaitable of it if the response has to wait for something."""
 
 
 class _RequestRefusal(msgspec.Struct, frozen=True):
@@ -70,7 +71,8 @@
     settings : HttpSettings
         Limits.
     handler : callable
-        Receives a request and returns the response; cancelled when the client disconnects.
+        Receives a request and returns the response, or an awaitable of it, which is cancelled when
+        the client disconnects.
     emit : callable
         Callback that receives log events.
     tls : TlsContexts, optional
@@ -250,30 +252,62 @@
         self, connection: h11.Connection, stream: trio.abc.Stream, request: HttpServerRequest
     ) -> bool:
         self.requests_in_progress += 1
-        response: HttpServerResponse | None = None
         try:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(_cancel_when_closed, stream, connection, nursery.cancel_scope)
-                response = await self._run_handler(request)
-                nursery.cancel_scope.cancel()
+            started = self._start_handler(request)
+            if isinstance(started, HttpServerResponse):
+                return await self._send_response(connection, stream, started)
+            finished = self._finish_handler(request, started)
+            response = await self._await_while_connected(finished, connection, stream)
             if response is None:
                 return False
             return await self._send_response(connection, stream, response)
         finally:
             self.requests_in_progress -= 1
 
-    async def _run_handler(self, request: HttpServerRequest) -> HttpServerResponse:
-        """Return the handler's response, or 500 after an unexpected error of the handler.
+    def _start_handler(
+        self, request: HttpServerRequest
+    ) -> HttpServerResponse | Awaitable[HttpServerResponse]:
+        """Call the handler; the response is 500 after an unexpected error.
 
         A broken invariant isn't caught: it stops the process.
         """
         try:
-            return await self.handler(request)
+            return self.handler(request)
+        except AssertionError:
+            raise
+        except Exception as error:
+            return self._make_error_response(request, error)
+
+    async def _finish_handler(
+        self, request: HttpServerRequest, awaitable: Awaitable[HttpServerResponse]
+    ) -> HttpServerResponse:
+        """Wait for the response of the handler, with errors as in `_start_handler`."""
+        try:
+            return await awaitable
         except AssertionError:
             raise
         except Exception as error:
-            self._report_error(f"{request.method} {request.target:.60}", error)
-            return HttpServerResponse(500, b"internal error\n")
+            return self._make_error_response(request, error)
+
+    async def _await_while_connected(
+        self,
+        awaitable: Awaitable[HttpServerResponse],
+        connection: h11.Connection,
+        stream: trio.abc.Stream,
+    ) -> HttpServerResponse | None:
+        """Wait for a response; cancel and return None if the client disconnects before."""
+        response: HttpServerResponse | None = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_cancel_when_closed, stream, connection, nursery.cancel_scope)
+            response = await awaitable
+            nursery.cancel_scope.cancel()
+        return response
+
+    def _make_error_response(
+        self, request: HttpServerRequest, error: Exception
+    ) -> HttpServerResponse:
+        self._report_error(f"{request.method} {request.target:.60}", error)
+        return HttpServerResponse(500, b"internal error\n")
 
     def _report_error(self, where: str, error: BaseException) -> None:
         self.failed_requests += 1
--- a/chicorypost/transport/tests/test_transport.py
+++ b/chicorypost/transport/tests/test_transport.py
@@ -141,11 +141,16 @@
     run(scenario)
 
 
-async def echo(request):
+def echo_at_once(request):
     return HttpServerResponse(200, request.path.encode() + request.body)
 
 
-def test_two_exchanges_use_one_connection():
+async def echo(request):
+    return echo_at_once(request)
+
+
+@pytest.mark.parametrize("handler", [echo, echo_at_once])
+def test_two_exchanges_use_one_connection(handler):
     async def run_client(endpoint, server):
         connection = await open_http(endpoint, 1000)
         assert isinstance(connection, HttpConnection)
@@ -155,7 +160,7 @@
             assert response.body == b"/p" + body
         assert connection.is_reusable
 
-    run_http_scenario(echo, run_client)
+    run_http_scenario(handler, run_client)
 
 
 @pytest.mark.parametrize(
@@ -352,11 +357,18 @@
     run_http_scenario(echo, run_client)
 
 
-def test_unexpected_error_of_a_handler_gives_500_and_the_listener_goes_on():
-    async def respond(request):
-        if request.path == "/defect":
-            raise OverflowError("int too large")
-        return await echo(request)
+@pytest.mark.parametrize("handler", [echo, echo_at_once])
+def test_unexpected_error_of_a_handler_gives_500_and_the_listener_goes_on(handler):
+    def respond(request):
+        return handler(request) if request.path != "/defect" else fail(handler is echo)
+
+    def fail(is_async):
+        async def fail_later():
+            fail(False)
+
+        if is_async:
+            return fail_later()
+        raise OverflowError("int too large")
 
     async def run_client(endpoint, server):
         for path, status in ((b"/defect", b"500"), (b"/p", b"200")):
