End a control daemon whose disk fails a write

The replica went on without its write, so that changes got 500 "internal error" and a follower acknowledged nothing, while all processes ran.

--- a/chicorypost/commands/_control.py
+++ b/chicorypost/commands/_control.py
@@ -12,7 +12,7 @@
 from chicorypost.commands._daemons import run_daemon_or_exit
 from chicorypost.commands._exit import ExitCode
 from chicorypost.commands._settings import ProcessRole, load_settings_or_exit
-from chicorypost.daemons import ControlSettings, run_control
+from chicorypost.daemons import ControlSettings, DiskFailure, run_control
 from chicorypost.events import configure_logging
 from chicorypost.transport import ExchangeRequest
 
@@ -34,14 +34,17 @@
         assert isinstance(settings, ControlSettings)
         configure_logging(settings.log.level, settings.id)
         try:
-            damage = run_daemon_or_exit(run_control, settings)
+            failure = run_daemon_or_exit(run_control, settings)
         except BlockingIOError as error:
             message = f"data folder {settings.data_folder} is in use by another process"
             raise cappa.Exit(message, code=ExitCode.REFUSED) from error
-        if damage is not None:
+        if isinstance(failure, DiskFailure):
+            message = f"a write to data folder {settings.data_folder} failed: {failure}"
+            raise cappa.Exit(message, code=ExitCode.REFUSED)
+        if failure is not None:
             message = (
-                f"data folder {settings.data_folder} is damaged: {damage.kind.value} in "
-                f"{damage.file}: {damage.detail}; empty the folder and replace this member"
+                f"data folder {settings.data_folder} is damaged: {failure.kind.value} in "
+                f"{failure.file}: {failure.detail}; empty the folder and replace this member"
             )
             raise cappa.Exit(message, code=ExitCode.REFUSED)
 
--- a/chicorypost/daemons/__init__.py
+++ b/chicorypost/daemons/__init__.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from chicorypost.daemons._balancer import BalancerDaemon, run_balancer
     from chicorypost.daemons._control import run_control
+    from chicorypost.daemons._control_log import DiskFailure
     from chicorypost.daemons._control_settings import ControlSettings
     from chicorypost.daemons._dispatch import EventDispatcher, Registration, message_types_in
     from chicorypost.daemons._engine import Engine
@@ -27,6 +28,7 @@
     "BalancerDaemon",
     "BalancerSettings",
     "ControlSettings",
+    "DiskFailure",
     "Engine",
     "EventDispatcher",
     "InvalidSetting",
@@ -47,6 +49,7 @@
         "BalancerDaemon": "_balancer",
         "BalancerSettings": "_settings",
         "ControlSettings": "_control_settings",
+        "DiskFailure": "_control_log",
         "EventDispatcher": "_dispatch",
         "Engine": "_engine",
         "PacketForwarder": "_packets",
--- a/chicorypost/daemons/_control.py
+++ b/chicorypost/daemons/_control.py
@@ -28,11 +28,11 @@
 )
 from chicorypost.daemons._admin import AdminEndpoints
 from chicorypost.daemons._control_api import OperatorEndpoint
-from chicorypost.daemons._control_log import ControlLog, LeadershipTracker
+from chicorypost.daemons._control_log import ControlLog, DiskFailure, LeadershipTracker
 from chicorypost.daemons._control_settings import ControlSettings
 from chicorypost.daemons._dispatch import Registration, message_types_in
 from chicorypost.daemons._engine import Engine
-from chicorypost.daemons._events import STARTED, STOPPED
+from chicorypost.daemons._events import DISK_WRITE_FAILED, STARTED, STOPPED
 from chicorypost.daemons._listeners import get_bound_endpoint, open_listener
 from chicorypost.daemons._settings import parse_endpoint
 from chicorypost.daemons._stop import StopControl
@@ -222,13 +222,22 @@
     return ControlDaemon(settings, storage, recovered, listeners)
 
 
-async def run_control(settings: ControlSettings) -> StorageDamage | None:
-    """Run a control instance until a signal stops it; return damage of the data folder, if any."""
+async def run_control(settings: ControlSettings) -> StorageDamage | DiskFailure | None:
+    """Run a control instance until a signal stops it or a write fails.
+
+    Returns
+    -------
+    StorageDamage, DiskFailure or None
+        Damage found in the data folder, why a write failed, or None after a graceful stop.
+    """
     daemon = await open_control(settings)
     if isinstance(daemon, StorageDamage):
         return daemon
-    await daemon.run()
-    return None
+    try:
+        await daemon.run()
+    except* DiskFailure:
+        daemon.emit(DISK_WRITE_FAILED.emit(reason=str(daemon.control_log.disk_failure)))
+    return daemon.control_log.disk_failure
 
 
 def _with_bootstrap_members(settings: ControlSettings) -> Any:
--- a/chicorypost/daemons/_control_log.py
+++ b/chicorypost/daemons/_control_log.py
@@ -119,6 +119,13 @@
     outcome: CommandOutcome | None = None
 
 
+class DiskFailure(BaseException):
+    """The disk failed a write, so what it holds is unknown, and the process must end.
+
+    Not an `Exception`: an unexpected error of a request or a message ends only that one.
+    """
+
+
 class ControlLog:
     """Executes the effects of the replica and completes the operations that wait for it.
 
@@ -137,6 +144,8 @@
         Outcomes of the last `MAX_RETAINED_OUTCOMES` applied commands.
     waiter_by_id : dict of str to LogWaiter
         Pending operations by the id of their proposal or read.
+    disk_failure : DiskFailure or None
+        Why no further write is made; the process is about to end.
     """
 
     def __init__(self, engine: Engine, storage: ReplicaStorage) -> None:
@@ -145,12 +154,19 @@
         self.state = ConfigurationState()
         self.outcome_by_index: dict[LogIndex, CommandOutcome] = {}
         self.waiter_by_id: dict[str, LogWaiter] = {}
+        self.disk_failure: DiskFailure | None = None
 
     def execute_effect(self, effect: Effect) -> bool:
-        """Execute an effect of the log; return False if the effect is of another kind."""
+        """Execute an effect of the log; return False if the effect is of another kind.
+
+        Raises
+        ------
+        DiskFailure
+            If a write fails now or has failed before.
+        """
         match effect:
             case Persist():
-                self.storage.write(effect)
+                self._write(effect)
                 self.engine.post(Persisted(effect.write_number))
             case Apply(index=index, command=command):
                 self._apply_command(index, command)
@@ -193,6 +209,15 @@
             del self.waiter_by_id[request_id]
         return waiter
 
+    def _write(self, persist: Persist) -> None:
+        if self.disk_failure is None:
+            try:
+                self.storage.write(persist)
+                return
+            except Exception as error:
+                self.disk_failure = DiskFailure(repr(error))
+        raise self.disk_failure
+
     def _apply_command(self, index: LogIndex, command: bytes) -> None:
         outcome = self.state.apply_command(command)
         self.outcome_by_index[index] = outcome
--- a/chicorypost/daemons/_events.py
+++ b/chicorypost/daemons/_events.py
@@ -51,3 +51,10 @@
     "upstream",
     "attempt",
 )
+DISK_WRITE_FAILED = define_event(
+    9,
+    "disk-write-failed",
+    Level.ERROR,
+    "A write to the data folder failed; the process ends, to recover the folder at its next start.",
+    "reason",
+)
--- a/chicorypost/daemons/tests/control_processes.py
+++ b/chicorypost/daemons/tests/control_processes.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import resource
 import shutil
 import signal
 import socket
@@ -56,6 +57,7 @@
         self.operator_ports = dict(zip(self.names, ports[count : 2 * count], strict=True))
         self.admin_ports = dict(zip(self.names, ports[2 * count :], strict=True))
         self.processes = {}
+        self.file_size_limits = {}
         for name in self.names:
             self.write_settings(name)
             self.start(name)
@@ -89,6 +91,31 @@
     def start(self, name):
         command = [sys.executable, "-c", CONTROL_PROGRAM, str(self.folder / f"{name}.json")]
         self.processes[name] = subprocess.Popen(command, stderr=subprocess.DEVNULL)
+        self._limit_file_size(name)
+
+    def fill_disk(self, name, spare_bytes):
+        """Make writes of an instance fail, also after restarts; its log may grow a little first."""
+        log_files = [path for path in (self.folder / name).rglob("*") if path.is_file()]
+        largest = max(path.stat().st_size for path in log_files)
+        self.file_size_limits[name] = largest + spare_bytes if spare_bytes else 0
+        self._limit_file_size(name)
+
+    def make_room(self, name):
+        """Let writes of an instance succeed again."""
+        self.file_size_limits.pop(name, None)
+        self._limit_file_size(name)
+
+    def _limit_file_size(self, name):
+        _, hard = resource.getrlimit(resource.RLIMIT_FSIZE)
+        soft = self.file_size_limits.get(name, hard)
+        if self.processes[name].poll() is None:
+            resource.prlimit(self.processes[name].pid, resource.RLIMIT_FSIZE, (soft, hard))
+
+    def restart_exited(self):
+        """Start instances that have ended by themselves again, as a supervisor does."""
+        for name, process in list(self.processes.items()):
+            if process.poll() is not None:
+                self.start(name)
 
     def kill(self, name):
         process = self.processes.pop(name)
--- a/chicorypost/daemons/tests/test_control_processes.py
+++ b/chicorypost/daemons/tests/test_control_processes.py
@@ -3,12 +3,17 @@
 import concurrent.futures
 import json
 import signal
+import threading
+import time
 
 import pytest
 import uuid6
 
 from chicorypost.daemons.tests.control_processes import ControlProcesses, wait_for
 
+SUPERVISION_SECONDS = 0.2
+"""Interval at which a supervisor looks for instances that have ended."""
+FULL_SECONDS = 3.0
 pytestmark = pytest.mark.xdist_group("control-processes")
 
 
@@ -130,6 +135,52 @@
     assert "chicorypost-out-of-touch-since" in dict(local.headers)
 
 
+@pytest.fixture
+def supervised_cluster(cluster):
+    """Return a cluster whose instances are started again when they end."""
+    stopped = threading.Event()
+
+    def supervise():
+        while not stopped.wait(SUPERVISION_SECONDS):
+            cluster.restart_exited()
+
+    thread = threading.Thread(target=supervise)
+    thread.start()
+    yield cluster
+    stopped.set()
+    thread.join()
+
+
+@pytest.mark.parametrize("spare_bytes", [0, 30], ids=["refused", "torn"])
+def test_changes_are_accepted_after_disks_were_full_in_turn(supervised_cluster, spare_bytes):
+    """Report: long after disks were full in turn, never two at once, changes were refused.
+
+    A failed write ends an instance, and its supervisor starts it again, beside the full disk too.
+    """
+    cluster = supervised_cluster
+    version = get_current_version(cluster)
+    leader = cluster.wait_for_leader()
+    for name in (leader, *(other for other in cluster.names if other != leader)):
+        cluster.fill_disk(name, spare_bytes)
+        deadline = time.monotonic() + FULL_SECONDS
+        while time.monotonic() < deadline:
+            response = cluster.send_patch(version, make_document(version))
+            assert response.status == 200
+            version = json.loads(response.body)["version"]
+        cluster.make_room(name)
+    for name in cluster.names:
+        wait_for(lambda name=name: cluster.get_status(name)["version"] == version)
+    for absent in cluster.names:
+        cluster.signal(absent, signal.SIGSTOP)
+        present = [name for name in cluster.names if name != absent]
+        response = cluster.send_patch(version, make_document(version), names=present)
+        assert response.status == 200
+        version = json.loads(response.body)["version"]
+        cluster.signal(absent, signal.SIGCONT)
+    versions = list_versions(cluster)
+    assert versions == list(range(version + 1 - len(versions), version + 1))
+
+
 def _find_status_reporting_silence(cluster, names, suspended):
     for name in names:
         status = cluster.get_status(name)
