End a control daemon also when a defect stops its replica

Cause: an unexpected error inside the replica, on a message or a request, ended that exchange alone, and the effects of the event were lost: the same state as after a write that had failed. Change: such an error ends the process like a failed write does, by LogFailure (before: DiskFailure), log line log-failed (9).

--- a/chicorypost/commands/_control.py
+++ b/chicorypost/commands/_control.py
@@ -12,7 +12,7 @@
 from chicorypost.commands._daemons import run_daemon_or_exit
 from chicorypost.commands._exit import ExitCode
 from chicorypost.commands._settings import ProcessRole, load_settings_or_exit
-from chicorypost.daemons import ControlSettings, DiskFailure, run_control
+from chicorypost.daemons import ControlSettings, LogFailure, run_control
 from chicorypost.events import configure_logging
 from chicorypost.transport import ExchangeRequest
 
@@ -38,8 +38,8 @@
         except BlockingIOError as error:
             message = f"data folder {settings.data_folder} is in use by another process"
             raise cappa.Exit(message, code=ExitCode.REFUSED) from error
-        if isinstance(failure, DiskFailure):
-            message = f"a write to data folder {settings.data_folder} failed: {failure}"
+        if isinstance(failure, LogFailure):
+            message = f"the log in data folder {settings.data_folder} failed: {failure}"
             raise cappa.Exit(message, code=ExitCode.REFUSED)
         if failure is not None:
             message = (
--- a/chicorypost/daemons/__init__.py
+++ b/chicorypost/daemons/__init__.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from chicorypost.daemons._balancer import BalancerDaemon, run_balancer
     from chicorypost.daemons._control import run_control
-    from chicorypost.daemons._control_log import DiskFailure
+    from chicorypost.daemons._control_log import LogFailure
     from chicorypost.daemons._control_settings import ControlSettings
     from chicorypost.daemons._dispatch import EventDispatcher, Registration, message_types_in
     from chicorypost.daemons._engine import Engine
@@ -28,10 +28,10 @@
     "BalancerDaemon",
     "BalancerSettings",
     "ControlSettings",
-    "DiskFailure",
     "Engine",
     "EventDispatcher",
     "InvalidSetting",
+    "LogFailure",
     "PacketForwarder",
     "ProcessSettings",
     "Registration",
@@ -49,7 +49,7 @@
         "BalancerDaemon": "_balancer",
         "BalancerSettings": "_settings",
         "ControlSettings": "_control_settings",
-        "DiskFailure": "_control_log",
+        "LogFailure": "_control_log",
         "EventDispatcher": "_dispatch",
         "Engine": "_engine",
         "PacketForwarder": "_packets",
--- a/chicorypost/daemons/_control.py
+++ b/chicorypost/daemons/_control.py
@@ -28,11 +28,11 @@
 )
 from chicorypost.daemons._admin import AdminEndpoints
 from chicorypost.daemons._control_api import OperatorEndpoint
-from chicorypost.daemons._control_log import ControlLog, DiskFailure, LeadershipTracker
+from chicorypost.daemons._control_log import ControlLog, LeadershipTracker, LogFailure
 from chicorypost.daemons._control_settings import ControlSettings
 from chicorypost.daemons._dispatch import Registration, message_types_in
 from chicorypost.daemons._engine import Engine
-from chicorypost.daemons._events import DISK_WRITE_FAILED, STARTED, STOPPED
+from chicorypost.daemons._events import LOG_FAILED, STARTED, STOPPED
 from chicorypost.daemons._listeners import get_bound_endpoint, open_listener
 from chicorypost.daemons._settings import parse_endpoint
 from chicorypost.daemons._stop import StopControl
@@ -222,22 +222,30 @@
     return ControlDaemon(settings, storage, recovered, listeners)
 
 
-async def run_control(settings: ControlSettings) -> StorageDamage | DiskFailure | None:
-    """Run a control instance until a signal stops it or a write fails.
+async def run_control(settings: ControlSettings) -> StorageDamage | LogFailure | None:
+    """Run a control instance until a signal stops it or its log fails.
 
     Returns
     -------
-    StorageDamage, DiskFailure or None
-        Damage found in the data folder, why a write failed, or None after a graceful stop.
+    StorageDamage, LogFailure or None
+        Damage found in the data folder, why the log failed, or None after a graceful stop.
     """
     daemon = await open_control(settings)
     if isinstance(daemon, StorageDamage):
         return daemon
+    failure: LogFailure | None = None
     try:
         await daemon.run()
-    except* DiskFailure:
-        daemon.emit(DISK_WRITE_FAILED.emit(reason=str(daemon.control_log.disk_failure)))
-    return daemon.control_log.disk_failure
+    except* LogFailure as failures:
+        failure = _find_first(failures)
+        daemon.emit(LOG_FAILED.emit(reason=str(failure)))
+    return failure
+
+
+def _find_first(failures: BaseExceptionGroup[LogFailure]) -> LogFailure:
+    """Return the first failure of a group, which may hold groups of nested tasks."""
+    first = failures.exceptions[0]
+    return _find_first(first) if isinstance(first, BaseExceptionGroup) else first
 
 
 def _with_bootstrap_members(settings: ControlSettings) -> Any:
--- a/chicorypost/daemons/_control_log.py
+++ b/chicorypost/daemons/_control_log.py
@@ -43,6 +43,13 @@
 LogReply = ProposalAccepted | ProposalRefused | ReadReady | ReadRefused
 
 
+class LogFailure(BaseException):
+    """The replica or its disk failed, so the state of the log is unknown and the process must end.
+
+    Not an `Exception`: an unexpected error of a request or a message ends only that one.
+    """
+
+
 class LeadershipTracker:
     """Wraps a replica and reports when it gains or loses leadership.
 
@@ -62,8 +69,17 @@
         self.is_leading = False
 
     def handle(self, event: Event, now: Instant) -> list[Effect]:
-        """Process an event and return the effects in execution order."""
-        effects = list(self.replica.handle(event, now))
+        """Process an event and return the effects in execution order.
+
+        Raises
+        ------
+        LogFailure
+            If the replica fails: the effects of the event are lost.
+        """
+        try:
+            effects = list(self.replica.handle(event, now))
+        except Exception as error:
+            raise LogFailure(f"{type(event).__name__}: {error!r}") from error
         effects += self._detect_role_change(now)
         result: list[Effect] = []
         for effect in effects:
@@ -119,13 +135,6 @@
     outcome: CommandOutcome | None = None
 
 
-class DiskFailure(BaseException):
-    """The disk failed a write, so what it holds is unknown, and the process must end.
-
-    Not an `Exception`: an unexpected error of a request or a message ends only that one.
-    """
-
-
 class ControlLog:
     """Executes the effects of the replica and completes the operations that wait for it.
 
@@ -144,7 +153,7 @@
         Outcomes of the last `MAX_RETAINED_OUTCOMES` applied commands.
     waiter_by_id : dict of str to LogWaiter
         Pending operations by the id of their proposal or read.
-    disk_failure : DiskFailure or None
+    failure : LogFailure or None
         Why no further write is made; the process is about to end.
     """
 
@@ -154,14 +163,14 @@
         self.state = ConfigurationState()
         self.outcome_by_index: dict[LogIndex, CommandOutcome] = {}
         self.waiter_by_id: dict[str, LogWaiter] = {}
-        self.disk_failure: DiskFailure | None = None
+        self.failure: LogFailure | None = None
 
     def execute_effect(self, effect: Effect) -> bool:
         """Execute an effect of the log; return False if the effect is of another kind.
 
         Raises
         ------
-        DiskFailure
+        LogFailure
             If a write fails now or has failed before.
         """
         match effect:
@@ -210,13 +219,13 @@
         return waiter
 
     def _write(self, persist: Persist) -> None:
-        if self.disk_failure is None:
+        if self.failure is None:
             try:
                 self.storage.write(persist)
                 return
             except Exception as error:
-                self.disk_failure = DiskFailure(repr(error))
-        raise self.disk_failure
+                self.failure = LogFailure(f"write: {error!r}")
+        raise self.failure
 
     def _apply_command(self, index: LogIndex, command: bytes) -> None:
         outcome = self.state.apply_command(command)
--- a/chicorypost/daemons/_events.py
+++ b/chicorypost/daemons/_events.py
@@ -51,10 +51,10 @@
     "upstream",
     "attempt",
 )
-DISK_WRITE_FAILED = define_event(
+LOG_FAILED = define_event(
     9,
-    "disk-write-failed",
+    "log-failed",
     Level.ERROR,
-    "A write to the data folder failed; the process ends, to recover the folder at its next start.",
+    "The log failed by its disk or by a defect; the process ends and recovers it at its start.",
     "reason",
 )
--- a/chicorypost/daemons/tests/test_control_log.py
+++ b/chicorypost/daemons/tests/test_control_log.py
@@ -3,10 +3,13 @@
 import json
 from random import Random
 
+import pytest
+
 from chicorypost.base import InstanceId, Instant, Tick, encode
 from chicorypost.configuration import PatchAccepted, PatchFormat, SubmitPatch
 from chicorypost.configuration.tests.test_state import NOW_MS, make_patch_id
 from chicorypost.consensus import (
+    Persist,
     Persisted,
     Propose,
     Read,
@@ -17,7 +20,7 @@
     SnapshotTaken,
 )
 from chicorypost.consensus._files import DiskFileSystem
-from chicorypost.daemons._control_log import ControlLog, LeadershipTracker
+from chicorypost.daemons._control_log import ControlLog, LeadershipTracker, LogFailure
 from chicorypost.daemons._dispatch import Registration
 from chicorypost.daemons._engine import Engine
 
@@ -77,3 +80,22 @@
 
 def _make_address(number):
     return f"10.1.{number // 250}.{number % 250}:80/tcp"
+
+
+@pytest.mark.parametrize("part", ["disk", "replica"])
+def test_a_failed_log_ends_the_process_and_not_just_one_exchange(tmp_path, monkeypatch, part):
+    """The replica went on without a write that had failed, and acknowledged nothing more."""
+    control = SingleMemberControl(tmp_path)
+
+    def fail(*arguments):
+        raise OSError("no space left on device")
+
+    failing = control.log.storage if part == "disk" else control.leadership.replica
+    with monkeypatch.context() as patch:
+        patch.setattr(failing, "write" if part == "disk" else "handle", fail)
+        with pytest.raises(LogFailure, match="no space left"):
+            control.engine.post(Propose("p", b"command"))
+    assert not issubclass(LogFailure, Exception)
+    if part == "disk":
+        with pytest.raises(LogFailure, match="no space left"):
+            control.log.execute_effect(Persist(9))
