Let the soak send garbage, fill disks in turn, and look for upstreams that are used after they left

Change: two kinds of faults, malformed input to every port of a control instance and a balancer, and disks full one after another; they are planned by a generator of their own, so that earlier seeds keep the rest of their plans. Two checks: an upstream that has left gets no opening more than 3 s later, and a change is acknowledged at the end of a run.

--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -69,7 +69,7 @@
             await trio.sleep_until(start + step.starts_at)
             nursery.start_soon(self._execute_step, step)
         longest = max((step.duration_seconds for step in self.plan), default=0.0)
-        await trio.sleep(longest)
+        await trio.sleep(len(self.cluster.controls) * longest)
 
     async def _check_final_state(self) -> None:
         self._update_clock()
@@ -77,12 +77,13 @@
         await trio.sleep(2.0)
         self._update_clock()
         served = self.checks.counts["answered"] - answered_before
+        is_accepted = await self.cluster.put_configuration(self.cluster.last_version + 1)
         last_version = None
         for _ in range(10):
             last_version = (
                 last_version if last_version is not None else await self.cluster.read_version()
             )
-        self.checks.check_final_state(last_version, served)
+        self.checks.check_final_state(last_version, served, is_accepted)
 
     def _update_clock(self) -> None:
         self.checks.now = trio.current_time()
@@ -128,6 +129,11 @@
                 await self._freeze_process(step, balancer)
             case Action.CONTROL_DISK_FULL:
                 await self._fill_disk(step, control)
+            case Action.DISKS_FULL_IN_TURN:
+                for process in cluster.controls:
+                    await self._fill_disk(step, process)
+            case Action.GARBAGE:
+                await cluster.send_garbage(step.target % 3, step.target % 4)
             case Action.SETTINGS_CHANGE:
                 self._change_settings(balancer, control)
             case Action.PACKETS_LOST:
--- a/benchmarks/soak/checks.py
+++ b/benchmarks/soak/checks.py
@@ -108,6 +108,12 @@
     def _check_left(self, upstream: str) -> None:
         self.ended_at[upstream] = self.now
 
+    def _check_opening_after_leave(self, upstream: str) -> None:
+        left_at = self.ended_at[upstream]
+        if self.is_fault_free and self.now - max(left_at, self.last_fault) > DRAIN_LIMIT_SECONDS:
+            detail = f"{upstream} got an opening {self.now - left_at:.1f} s after it had left"
+            self._add_finding("left for good", detail)
+
     def _check_flow_failed(self, target: tuple[str, int], reason: str, port: int) -> None:
         if (
             self.now - self.last_fault > RECOVERY_LIMIT_SECONDS
@@ -124,8 +130,18 @@
                 "acknowledged version is kept", f"read version {version}, {floor} was acknowledged"
             )
 
-    def check_final_state(self, last_read: int | None, served: int) -> None:
-        """Check that the acknowledged version is readable and that requests are served."""
+    def check_final_state(self, last_read: int | None, served: int, is_accepted: bool) -> None:
+        """Check that the acknowledged version is readable, and that all is served again.
+
+        Parameters
+        ----------
+        last_read : int or None
+            Version read at the end; None if no control instance responded.
+        served : int
+            Requests answered at the end.
+        is_accepted : bool
+            Whether a change was acknowledged at the end.
+        """
         if last_read is None:
             self._add_finding(
                 "acknowledged version is kept", "no control instance responded to a read at the end"
@@ -133,5 +149,7 @@
         elif last_read < self.acknowledged_version:
             detail = f"read {last_read} at the end, {self.acknowledged_version} was acknowledged"
             self._add_finding("acknowledged version is kept", detail)
+        if not is_accepted:
+            self._add_finding("accepts changes", "no change was acknowledged at the end")
         if not served:
             self._add_finding("serves", "no request was answered at the end")
--- a/benchmarks/soak/cluster.py
+++ b/benchmarks/soak/cluster.py
@@ -1,5 +1,6 @@
 """A small deployment on loopback: instances, proxies, fabric, clients, upstreams, operators."""
 
+import contextlib
 import json
 import random
 import signal
@@ -10,11 +11,13 @@
 import trio
 
 from benchmarks.soak.checks import GuaranteeChecks
+from benchmarks.soak.garbage import make_call, make_datagram, make_stream, send_to_stream
 from benchmarks.soak.processes import RoleProcess
 from benchmarks.soak.proxy import Proxy
 from benchmarks.standins.platform_client import StandInClient
 from benchmarks.standins.platform_upstream import StandInUpstream
 from chicorypost.base import Endpoint
+from chicorypost.roles._admin import ADMIN_PORT
 from chicorypost.transport import ExchangeRequest, ExchangeResponse, exchange_once
 
 CONTROL_PORT = 8166
@@ -22,6 +25,8 @@
 PACKET_PORT = 8172
 READY_PORT = 8167
 UPSTREAM_PORT = 8080
+GARBAGE_COUNT = 20
+"""Malformed inputs to each port in one step."""
 PROBE_INTERVAL_SECONDS = 0.5
 MAX_MISSED_PROBES = 2
 SUPERVISION_INTERVAL_SECONDS = 0.2
@@ -49,6 +54,7 @@
     def __init__(self, folder: Path, network_number: int, rng: random.Random) -> None:
         self.network_number = network_number
         self.rng = rng
+        self.garbage_rng = random.Random(network_number)
         self.folder = folder
         self.virtual_addresses = {("198.18.0.1", 443 + n): name for n, name in enumerate(SERVICES)}
         self.checks = GuaranteeChecks(dict(self.virtual_addresses))
@@ -204,6 +210,23 @@
             # The balancer isn't listening; the client retransmits the packet.
             return
 
+    async def send_garbage(self, control: int, balancer: int) -> None:
+        """Send malformed input to every port of a control instance and of a balancer."""
+        control_host, balancer_host = self.host_address(2, control), self.host_address(3, balancer)
+        async with trio.open_nursery() as nursery:
+            for _ in range(GARBAGE_COUNT):
+                for endpoint, data in (
+                    (Endpoint(control_host, CONTROL_PORT), make_call(self.garbage_rng)),
+                    (Endpoint(control_host, PEER_PORT), make_stream(self.garbage_rng)),
+                    (Endpoint(control_host, ADMIN_PORT), make_call(self.garbage_rng)),
+                    (Endpoint(balancer_host, READY_PORT), make_call(self.garbage_rng)),
+                    (Endpoint(balancer_host, ADMIN_PORT), make_call(self.garbage_rng)),
+                ):
+                    nursery.start_soon(send_to_stream, endpoint, data)
+                with contextlib.suppress(OSError):
+                    datagram = make_datagram(self.garbage_rng)
+                    self.fabric_socket.sendto(datagram, (balancer_host, PACKET_PORT))
+
     def make_client(self, number: int) -> StandInClient:
         """Return a client with its own address."""
         rng = random.Random(self.rng.getrandbits(32))
--- a/benchmarks/soak/plan.py
+++ b/benchmarks/soak/plan.py
@@ -32,10 +32,15 @@
     CONFIGURATION = "configuration"
     CONFIGURATION_RACE = "configuration-race"
     CONFIGURATION_BAD = "configuration-bad"
+    GARBAGE = "garbage"
+    DISKS_FULL_IN_TURN = "disks-full-in-turn"
 
 
 CONTROL_FAULTS = tuple(action for action in Action if action.value.startswith("control-"))
-OTHER_ACTIONS = tuple(action for action in Action if action not in CONTROL_FAULTS)
+REPORTED_FAULTS = (Action.GARBAGE, Action.DISKS_FULL_IN_TURN)
+"""Faults that operators of similar systems have reported. Another random generator plans them, so
+that the rest of the plans of earlier seeds stays as it was."""
+OTHER_ACTIONS = tuple(action for action in Action if action not in CONTROL_FAULTS + REPORTED_FAULTS)
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,7 +67,7 @@
     -------
     list of Step
         Steps in order of time; faults of control instances are `CONTROL_FAULT_INTERVAL_SECONDS` or
-        more apart, other actions overlap.
+        more apart, except for full disks in turn; other actions overlap.
     """
     rng = random.Random(seed)
     steps = []
@@ -74,6 +79,11 @@
     while at < seconds:
         steps.append(_make_step(rng, at, rng.choice(OTHER_ACTIONS)))
         at += rng.uniform(0.3, 1.5)
+    rng = random.Random(f"reported faults of {seed}")
+    at = rng.uniform(0.5, 4.0)
+    while at < seconds:
+        steps.append(_make_step(rng, at, rng.choice(REPORTED_FAULTS)))
+        at += rng.uniform(3.0, 9.0)
     return sorted(steps, key=lambda step: step.starts_at)
 
 
--- a/benchmarks/standins/platform_upstream.py
+++ b/benchmarks/standins/platform_upstream.py
@@ -79,6 +79,8 @@
     started_at_ms: int = field(default_factory=lambda: time.time_ns() // 1_000_000)
     sequence: int = 0
     state: str = "ready"
+    has_left: bool = False
+    """Whether it has sent its leave call; it then only records what it still receives."""
     flows: dict[tuple[str, int], UpstreamFlow] = field(default_factory=dict)
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
@@ -132,7 +134,8 @@
         await trio.sleep(seconds)
         await self._call_control(f"/-/Backends.Leave/{self.name}", b"")
         self.record("left", upstream=self.name)
-        self.scope.cancel()
+        self.has_left = True
+        self.flows.clear()
 
     async def _call_control(self, path: str, body: bytes) -> bool:
         for endpoint in self.control_endpoints():
@@ -148,6 +151,10 @@
         if token not in (0, self.token):
             return
         packet = decode_packet(data[TOKEN_BYTES:])
+        if self.has_left:
+            if packet.flags & OPEN_FLAG:
+                self.record("opening-after-leave", upstream=self.name)
+            return
         flow = self.flows.get(packet.source)
         if packet.flags & OPEN_FLAG:
             self._handle_opening(packets, packet, flow)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,7 +6,12 @@
 
 from benchmarks.soak.__main__ import run_seed
 from benchmarks.soak.checks import GuaranteeChecks
-from benchmarks.soak.plan import CONTROL_FAULT_INTERVAL_SECONDS, CONTROL_FAULTS, make_plan
+from benchmarks.soak.plan import (
+    CONTROL_FAULT_INTERVAL_SECONDS,
+    CONTROL_FAULTS,
+    REPORTED_FAULTS,
+    make_plan,
+)
 from benchmarks.soak.seeds import REGRESSION_SEEDS
 
 ORDERS, ARCHIVE = ("198.18.0.1", 443), ("198.18.0.1", 444)
@@ -32,7 +37,7 @@
     checks.record("run", upstream="u", request="r", service="orders")
     checks.record("answered", request="r", target=ORDERS, body="r", service="orders")
     checks.record("read", version=3, floor=3)
-    checks.check_final_state(3, 1)
+    checks.check_final_state(3, 1, True)
     assert broken_guarantees(checks) == []
 
 
@@ -79,7 +84,7 @@
     checks.record("put-acknowledged", version=5)
     checks.record_fault("kill")
     checks.record("read", version=4, floor=5)
-    checks.check_final_state(4, 1)
+    checks.check_final_state(4, 1, True)
     assert broken_guarantees(checks) == [
         "acknowledged version is kept",
         "acknowledged version is kept",
@@ -92,8 +97,22 @@
 
 
 def test_missing_responses_at_the_end_are_found(checks):
-    checks.check_final_state(None, 0)
-    assert broken_guarantees(checks) == ["acknowledged version is kept", "serves"]
+    checks.check_final_state(None, 0, False)
+    assert broken_guarantees(checks) == [
+        "acknowledged version is kept",
+        "accepts changes",
+        "serves",
+    ]
+
+
+def test_an_opening_long_after_the_upstream_has_left_is_found(checks):
+    checks.record("left", upstream="u")
+    checks.now += 2.9
+    checks.record("opening-after-leave", upstream="u")
+    assert broken_guarantees(checks) == []
+    checks.now += 0.2
+    checks.record("opening-after-leave", upstream="u")
+    assert broken_guarantees(checks) == ["left for good"]
 
 
 def test_a_flow_failure_without_a_fault_is_found(checks):
@@ -110,6 +129,11 @@
     )
 
 
+def test_plans_contain_the_faults_that_operators_have_reported():
+    planned = {step.action for seed in range(5) for step in make_plan(seed, 20.0)}
+    assert planned.issuperset(REPORTED_FAULTS)
+
+
 @pytest.mark.xdist_group("control-processes")
 @pytest.mark.parametrize("item", REGRESSION_SEEDS, ids=lambda item: item.seed)
 def test_a_regression_seed_breaks_no_guarantee(item):
