--- a/chicorypost/commands/_control.py
+++ b/chicorypost/commands/_control.py
@@ -12,7 +12,6 @@
 from chicorypost.commands._daemons import run_daemon_or_exit
 from chicorypost.commands._exit import ExitCode
 from chicorypost.commands._settings import ProcessRole, load_settings_or_exit
-from chicorypost.daemons import ControlSettings, LogFailure, run_control
 from chicorypost.events import configure_logging
 from chicorypost.transport import ExchangeRequest
 
@@ -30,6 +29,8 @@
 
     def __call__(self) -> None:
         """Load the settings and serve."""
+        from chicorypost.daemons import ControlSettings, LogFailure, run_control
+
         settings = load_settings_or_exit(self.settings, ProcessRole.CONTROL)
         assert isinstance(settings, ControlSettings)
         configure_logging(settings.log.level, settings.id)
--- a/chicorypost/commands/_daemons.py
+++ b/chicorypost/commands/_daemons.py
@@ -10,7 +10,6 @@
 
 from chicorypost.commands._exit import ExitCode
 from chicorypost.commands._settings import ProcessRole, load_settings_or_exit
-from chicorypost.daemons import BalancerSettings, run_balancer
 from chicorypost.events import configure_logging
 
 AnySettings = TypeVar("AnySettings")
@@ -47,6 +46,8 @@
 
     def __call__(self) -> None:
         """Load the settings and serve."""
+        from chicorypost.daemons import BalancerSettings, run_balancer
+
         settings = load_settings_or_exit(self.settings, ProcessRole.BALANCER)
         assert isinstance(settings, BalancerSettings)
         configure_logging(settings.log.level, settings.id)
--- a/chicorypost/commands/_dump.py
+++ b/chicorypost/commands/_dump.py
@@ -8,7 +8,6 @@
 
 from chicorypost.base import Endpoint
 from chicorypost.commands._exit import ExitCode
-from chicorypost.daemons import parse_endpoint
 from chicorypost.transport import ExchangeRequest, ExchangeResponse, exchange_once
 
 MAX_DUMP_BYTES = 256 * 1024 * 1024
@@ -28,6 +27,8 @@
 
     def __call__(self) -> None:
         """Fetch and print the state."""
+        from chicorypost.daemons import parse_endpoint
+
         try:
             endpoint = parse_endpoint(self.admin)
         except ValueError as error:
--- a/chicorypost/commands/_keys.py
+++ b/chicorypost/commands/_keys.py
@@ -7,7 +7,6 @@
 import cappa
 
 from chicorypost.commands._exit import ExitCode
-from chicorypost.transport import write_test_certificates
 
 
 @cappa.command(
@@ -26,6 +25,8 @@
 
     def __call__(self, output: cappa.Output) -> None:
         """Write authority.pem and, for each name, NAME.pem and NAME.key."""
+        from chicorypost.transport import write_test_certificates
+
         if (self.folder / "authority.pem").exists():
             message = f"{self.folder} already contains authority.pem; use a folder without it"
             raise cappa.Exit(message, code=ExitCode.USAGE)
--- a/chicorypost/commands/_settings.py
+++ b/chicorypost/commands/_settings.py
@@ -4,13 +4,14 @@
 from dataclasses import dataclass
 from enum import Enum
 from pathlib import Path
-from typing import Annotated
+from typing import TYPE_CHECKING, Annotated
 
 import cappa
 
-from chicorypost.base import Settings
 from chicorypost.commands._exit import ExitCode
-from chicorypost.daemons import BalancerSettings, ControlSettings, load_settings
+
+if TYPE_CHECKING:
+    from chicorypost.base import Settings
 
 
 class ProcessRole(Enum):
@@ -20,13 +21,14 @@
     CONTROL = "control"
 
 
-SETTINGS_CLASSES: dict[ProcessRole, type[Settings]] = {
-    ProcessRole.BALANCER: BalancerSettings,
-    ProcessRole.CONTROL: ControlSettings,
-}
+def find_settings_class(role: ProcessRole) -> "type[Settings]":
+    """Return the class of the settings of a type of process."""
+    from chicorypost.daemons import BalancerSettings, ControlSettings
+
+    return BalancerSettings if role is ProcessRole.BALANCER else ControlSettings
 
 
-def load_settings_or_exit(file: Path, role: ProcessRole) -> Settings:
+def load_settings_or_exit(file: Path, role: ProcessRole) -> "Settings":
     """Return the validated settings of a file, or end the command with all errors listed.
 
     Raises
@@ -34,7 +36,10 @@
     cappa.Exit
         If the file can't be read or a setting is invalid.
     """
-    settings = load_settings(file, SETTINGS_CLASSES[role])
+    from chicorypost.base import Settings
+    from chicorypost.daemons import load_settings
+
+    settings = load_settings(file, find_settings_class(role))
     if isinstance(settings, Settings):
         return settings
     lines = [f"{file} has {len(settings)} mistake(s):"]
@@ -86,4 +91,4 @@
 
 def render_schema(role: ProcessRole) -> str:
     """Return the JSON Schema of the settings of a type of process, as text."""
-    return json.dumps(SETTINGS_CLASSES[role].model_json_schema(), indent=2) + "\n"
+    return json.dumps(find_settings_class(role).model_json_schema(), indent=2) + "\n"
--- a/chicorypost/configuration/_commands.py
+++ b/chicorypost/configuration/_commands.py
@@ -6,7 +6,8 @@
 import msgspec
 
 from chicorypost.base import DataCentreId, Epoch, Message, PatchId, Record, Version
-from chicorypost.configuration._patch import PatchFormat, PatchRefusalReason
+from chicorypost.configuration._patch import PatchRefusalReason
+from chicorypost.configuration._patch_format import PatchFormat
 from chicorypost.configuration._validation import InvalidValue
 
 
--- a/chicorypost/configuration/_patch.py
+++ b/chicorypost/configuration/_patch.py
@@ -11,6 +11,7 @@
 from jsonpointer import JsonPointerException
 
 from chicorypost.configuration._document import ConfigurationDocument
+from chicorypost.configuration._patch_format import PatchFormat
 from chicorypost.configuration._validation import (
     MAX_DOCUMENT_BYTES,
     InvalidValue,
@@ -25,13 +26,6 @@
 OPERATION_NAMES = ("add", "copy", "move", "remove", "replace", "test")
 
 
-class PatchFormat(Enum):
-    """Format of a patch; the value is its media type."""
-
-    MERGE_PATCH = "application/merge-patch+json"
-    JSON_PATCH = "application/json-patch+json"
-
-
 class PatchRefusalReason(Enum):
     """Why a patch was not accepted."""
 
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from chicorypost.commands._settings import SETTINGS_CLASSES, ProcessRole, render_schema
+from chicorypost.commands._settings import ProcessRole, find_settings_class, render_schema
 from chicorypost.configuration import ConfigurationDocument, Patch, PatchFormat, apply_patch
 from chicorypost.daemons import load_settings
 
@@ -24,7 +24,7 @@
     files = [file for file in EXAMPLE_FILES if file.name.startswith(role.value)]
     assert files
     for file in files:
-        assert not isinstance(load_settings(file, SETTINGS_CLASSES[role]), list), file
+        assert not isinstance(load_settings(file, find_settings_class(role)), list), file
 
 
 def test_every_example_patch_is_accepted():
