Ignore messages between replicas that no replica would send

Cause: an append request with a gap in its entries broke an invariant of the log, and one with an unreadable membership raised; both ended a control daemon. Change: find_message_fault says why a message can't be from a replica; a control daemon ignores such a message with a line, message-refused (10).

--- a/chicorypost/consensus/__init__.py
+++ b/chicorypost/consensus/__init__.py
@@ -30,6 +30,7 @@
     TakeSnapshot,
 )
 from chicorypost.consensus._membership_repair import MembershipRepairSettings
+from chicorypost.consensus._message_checks import find_message_fault
 from chicorypost.consensus._records import (
     ClusterMembership,
     Entry,
@@ -76,4 +77,5 @@
     "SnapshotTaken",
     "StorageDamage",
     "TakeSnapshot",
+    "find_message_fault",
 ]
--- a/chicorypost/consensus/tests/fakes.py
+++ b/chicorypost/consensus/tests/fakes.py
@@ -30,6 +30,7 @@
     RestoreSnapshot,
     SnapshotTaken,
     TakeSnapshot,
+    find_message_fault,
 )
 
 
@@ -271,6 +272,7 @@
         sender, to, data = item
         if to in self.nodes and frozenset((sender, to)) not in self.cut_links:
             message: Any = decode(data)
+            assert find_message_fault(message) is None
             self.handle(self.nodes[to], Received(sender, message))
 
     def deliver_all(self, limit=10_000):
--- a/chicorypost/daemons/_control_log.py
+++ b/chicorypost/daemons/_control_log.py
@@ -7,7 +7,7 @@
 import msgspec
 import trio
 
-from chicorypost.base import Effect, Event, Instant, LogIndex, encode
+from chicorypost.base import Effect, Event, Instant, LogIndex, Received, encode
 from chicorypost.configuration import (
     AdmissionCommitted,
     ClearReleases,
@@ -34,8 +34,10 @@
     RestoreSnapshot,
     SnapshotTaken,
     TakeSnapshot,
+    find_message_fault,
 )
 from chicorypost.daemons._engine import Engine
+from chicorypost.daemons._events import MESSAGE_REFUSED
 from chicorypost.daemons._wall import wall_clock_ms
 
 MAX_RETAINED_OUTCOMES = 1024
@@ -76,6 +78,10 @@
         LogFailure
             If the replica fails: the effects of the event are lost.
         """
+        if isinstance(event, Received):
+            fault = find_message_fault(event.message)
+            if fault is not None:
+                return [MESSAGE_REFUSED.emit(peer=event.sender, reason=fault)]
         try:
             effects = list(self.replica.handle(event, now))
         except Exception as error:
--- a/chicorypost/daemons/_events.py
+++ b/chicorypost/daemons/_events.py
@@ -51,6 +51,14 @@
     "upstream",
     "attempt",
 )
+MESSAGE_REFUSED = define_event(
+    10,
+    "message-refused",
+    Level.WARNING,
+    "A member of the log sent a message that no replica would send; it was ignored.",
+    "peer",
+    "reason",
+)
 LOG_FAILED = define_event(
     9,
     "log-failed",
--- a/chicorypost/daemons/tests/test_control_log.py
+++ b/chicorypost/daemons/tests/test_control_log.py
@@ -5,10 +5,12 @@
 
 import pytest
 
-from chicorypost.base import InstanceId, Instant, Tick, encode
+from chicorypost.base import InstanceId, Instant, LogIndex, Received, Term, Tick, encode
 from chicorypost.configuration import PatchAccepted, PatchFormat, SubmitPatch
 from chicorypost.configuration.tests.test_state import NOW_MS, make_patch_id
 from chicorypost.consensus import (
+    Entry,
+    EntryKind,
     Persist,
     Persisted,
     Propose,
@@ -20,9 +22,11 @@
     SnapshotTaken,
 )
 from chicorypost.consensus._files import DiskFileSystem
+from chicorypost.consensus._messages import AppendRequest
 from chicorypost.daemons._control_log import ControlLog, LeadershipTracker, LogFailure
 from chicorypost.daemons._dispatch import Registration
 from chicorypost.daemons._engine import Engine
+from chicorypost.daemons._events import MESSAGE_REFUSED
 
 PATCH_COUNT = 1_000
 BATCH_SIZE = 100
@@ -99,3 +103,16 @@
     if part == "disk":
         with pytest.raises(LogFailure, match="no space left"):
             control.log.execute_effect(Persist(9))
+
+
+def test_a_message_that_no_replica_would_send_is_ignored(tmp_path):
+    """A message with a gap in its entries ended the process of a member that received it."""
+    control = SingleMemberControl(tmp_path)
+    entry = Entry(LogIndex(9), Term(1), EntryKind.COMMAND, b"x")
+    message = AppendRequest(
+        "cluster", "g1", "g2", Term(1), 1, LogIndex(4), Term(1), (entry,), LogIndex(4)
+    )
+    effects = control.leadership.handle(Received(InstanceId("control-1"), message), Instant(1.0))
+    assert effects == [
+        MESSAGE_REFUSED.emit(peer="control-1", reason="an entry has index 9, allowed is 5")
+    ]
