--- a/chicorypost/daemons/_control.py
+++ b/chicorypost/daemons/_control.py
@@ -237,15 +237,15 @@
     try:
         await daemon.run()
     except* LogFailure as failures:
-        failure = _find_first(failures)
+        failure = _find_first_failure(failures)
         daemon.emit(LOG_FAILED.emit(reason=str(failure)))
     return failure
 
 
-def _find_first(failures: BaseExceptionGroup[LogFailure]) -> LogFailure:
+def _find_first_failure(failures: BaseExceptionGroup[LogFailure]) -> LogFailure:
     """Return the first failure of a group, which may hold groups of nested tasks."""
     first = failures.exceptions[0]
-    return _find_first(first) if isinstance(first, BaseExceptionGroup) else first
+    return _find_first_failure(first) if isinstance(first, BaseExceptionGroup) else first
 
 
 def _with_bootstrap_members(settings: ControlSettings) -> Any:
--- a/chicorypost/daemons/_control_log.py
+++ b/chicorypost/daemons/_control_log.py
@@ -82,11 +82,7 @@
             fault = find_message_fault(event.message)
             if fault is not None:
                 return [MESSAGE_REFUSED.emit(peer=event.sender, reason=fault)]
-        try:
-            effects = list(self.replica.handle(event, now))
-        except Exception as error:
-            raise LogFailure(f"{type(event).__name__}: {error!r}") from error
-        effects += self._detect_role_change(now)
+        effects = self._handle_by_replica(event, now) + self._detect_role_change(now)
         result: list[Effect] = []
         for effect in effects:
             match effect:
@@ -101,6 +97,12 @@
                     result.append(effect)
         return result
 
+    def _handle_by_replica(self, event: Event, now: Instant) -> list[Effect]:
+        try:
+            return list(self.replica.handle(event, now))
+        except Exception as error:
+            raise LogFailure(f"{type(event).__name__}: {error!r}") from error
+
     def next_deadline(self) -> Instant | None:
         """Return when the replica next needs a `Tick`."""
         return self.replica.next_deadline()
@@ -116,7 +118,7 @@
         self.was_leader = is_leader
         if is_leader:
             self.confirmation_read_id = f"leadership-{uuid.uuid4().hex}"
-            return list(self.replica.handle(Read(self.confirmation_read_id), now))
+            return self._handle_by_replica(Read(self.confirmation_read_id), now)
         self.confirmation_read_id = ""
         was_leading, self.is_leading = self.is_leading, False
         return [LeadershipChanged(False)] if was_leading else []
--- a/chicorypost/roles/tests/test_replica_host.py
+++ b/chicorypost/roles/tests/test_replica_host.py
@@ -117,7 +117,7 @@
     run(instance, scenario)
 
 
-def test_committed_entries_survive_a_failure(instance):
+def test_committed_entries_survive_a_disk_failure(instance):
     async def scenario():
         await instance.wait_until(instance.is_leading)
         instance.engine.post(Propose("p", b"kept"))
