Prove drains and planned stops when a second balancer is lost right after a repair

Cause: three cells of the fault matrix weren't proved: a second loss right after a repair beside a leaving upstream and beside a planned stop, and two faults at once beside a leaving upstream. Change: tests only. A drain beside the loss of a relay or keeper right after another one was replaced, also with three of ten messages lost; a planned stop beside the same, at fifteen steps in four roles. One cell of the matrix is left, a change of a service's selector.

--- a/chicorypost/requests/tests/test_planned_stop.py
+++ b/chicorypost/requests/tests/test_planned_stop.py
@@ -14,10 +14,13 @@
 """Steps of the request at which the fault is brought about."""
 FAULT_SECONDS = 1.0
 CUT_SECONDS = 2.0
+REPAIR_SECONDS = 5.0
+"""Longer than a lease, after which the view excludes a balancer that was lost."""
 
 
 def other_instance(simulation, stopping):
-    return next(name for name in sorted(simulation.nodes) if name != stopping)
+    nodes = simulation.nodes
+    return next(name for name in sorted(nodes) if name != stopping and nodes[name].is_alive)
 
 
 def kill_another(simulation, stopping):
@@ -51,8 +54,16 @@
         simulation.deliver_event(name, ConfigurationApplied(Version(2), document))
 
 
+def lose_another_right_after_a_repair(simulation, stopping):
+    """Kill a balancer, wait until the others have replaced its roles, and kill a second one."""
+    kill_another(simulation, stopping)
+    simulation.sleep(REPAIR_SECONDS)
+    kill_another(simulation, stopping)
+
+
 FAULTS = {
     "kill": kill_another,
+    "second loss": lose_another_right_after_a_repair,
     "cut": cut_off_for_a_while,
     "silent connection": silence_one_connection,
     "freeze": freeze_for_a_while,
--- a/chicorypost/upstreams/tests/test_directory.py
+++ b/chicorypost/upstreams/tests/test_directory.py
@@ -137,6 +137,61 @@
     assert set(states_by_instance(loop, "alive").values()) == {READY}
 
 
+@pytest.mark.parametrize("lost_share", [0.0, 0.3])
+@pytest.mark.parametrize("second", ["first relay", "second relay", "keeper"])
+@pytest.mark.parametrize("first", ["first relay", "second relay", "keeper"])
+def test_a_drain_reaches_all_balancers_when_another_is_lost_right_after_a_repair(
+    first, second, lost_share
+):
+    """The view has just been repaired when the next balancer is lost, beside a drain.
+
+    With `lost_share`, so many messages are lost too.
+    """
+    draw = random.Random(f"{first} {second}")
+
+    def route(sender, to, message):
+        return () if loop.now > 1.0 and draw.random() < lost_share else (0.005,)
+
+    def find_role(view, role):
+        relays = find_relays(view)
+        by_role = {"first relay": relays[0], "second relay": relays[-1]}
+        return by_role.get(role) or dispatcher_of(view, "a").instance
+
+    def crash(role, view):
+        lost.append(find_role(view, role))
+        loop.crash_instance(lost[-1])
+
+    def repair(epoch):
+        view = make_view(9, epoch=epoch, without=lost)
+        for member in view.members:
+            loop.deliver_event(member.instance, ViewChanged(view))
+        return view
+
+    lost: list[str] = []
+    view = make_view(9)
+    loop = start_directories([view], route)
+    announce(loop, view.members[-1].instance, make_upstream("a"), 30.0)
+    loop.run_until(1.0)
+    crash(first, view)
+    loop.run_until(4.0)
+    repaired = repair(2)
+    loop.run_until(4.05)
+    crash(second, repaired)
+    remaining = make_view(9, without=lost).members[0].instance
+    announce(loop, remaining, make_upstream("a", state=DRAINING), 30.0)
+    loop.run_until(7.05)
+    live = {
+        name: state for name, state in states_by_instance(loop, "a").items() if name not in lost
+    }
+    assert READY not in live.values()
+    repair(3)
+    loop.run_until(8.0)
+    live = {
+        name: state for name, state in states_by_instance(loop, "a").items() if name not in lost
+    }
+    assert set(live.values()) == {DRAINING}
+
+
 @pytest.mark.parametrize("way", ["frozen", "without a lease"])
 def test_a_balancer_removes_no_upstream_after_it_was(way):
     """A balancer that missed announcements, while paused or without a lease, removes nothing."""
