--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -133,7 +133,7 @@
                 for process in cluster.controls:
                     await self._fill_disk(step, process)
             case Action.GARBAGE:
-                await cluster.send_garbage(step.target % 3, step.target % 4)
+                await cluster.send_garbage(step.target)
             case Action.SETTINGS_CHANGE:
                 self._change_settings(balancer, control)
             case Action.PACKETS_LOST:
--- a/benchmarks/soak/cluster.py
+++ b/benchmarks/soak/cluster.py
@@ -54,7 +54,6 @@
     def __init__(self, folder: Path, network_number: int, rng: random.Random) -> None:
         self.network_number = network_number
         self.rng = rng
-        self.garbage_rng = random.Random(network_number)
         self.folder = folder
         self.virtual_addresses = {("198.18.0.1", 443 + n): name for n, name in enumerate(SERVICES)}
         self.checks = GuaranteeChecks(dict(self.virtual_addresses))
@@ -210,21 +209,26 @@
             # The balancer isn't listening; the client retransmits the packet.
             return
 
-    async def send_garbage(self, control: int, balancer: int) -> None:
-        """Send malformed input to every port of a control instance and of a balancer."""
-        control_host, balancer_host = self.host_address(2, control), self.host_address(3, balancer)
+    async def send_garbage(self, target: int) -> None:
+        """Send malformed input to every port of a control instance and of a balancer.
+
+        The number of the target determines both instances and the input.
+        """
+        rng = random.Random(target)
+        control_host = self.host_address(2, target % 3)
+        balancer_host = self.host_address(3, target % 4)
         async with trio.open_nursery() as nursery:
             for _ in range(GARBAGE_COUNT):
                 for endpoint, data in (
-                    (Endpoint(control_host, CONTROL_PORT), make_call(self.garbage_rng)),
-                    (Endpoint(control_host, PEER_PORT), make_stream(self.garbage_rng)),
-                    (Endpoint(control_host, ADMIN_PORT), make_call(self.garbage_rng)),
-                    (Endpoint(balancer_host, READY_PORT), make_call(self.garbage_rng)),
-                    (Endpoint(balancer_host, ADMIN_PORT), make_call(self.garbage_rng)),
+                    (Endpoint(control_host, CONTROL_PORT), make_call(rng)),
+                    (Endpoint(control_host, PEER_PORT), make_stream(rng)),
+                    (Endpoint(control_host, ADMIN_PORT), make_call(rng)),
+                    (Endpoint(balancer_host, READY_PORT), make_call(rng)),
+                    (Endpoint(balancer_host, ADMIN_PORT), make_call(rng)),
                 ):
                     nursery.start_soon(send_to_stream, endpoint, data)
                 with contextlib.suppress(OSError):
-                    datagram = make_datagram(self.garbage_rng)
+                    datagram = make_datagram(rng)
                     self.fabric_socket.sendto(datagram, (balancer_host, PACKET_PORT))
 
     def make_client(self, number: int) -> StandInClient:
