Never call a change of members refused that may have been made

Cause, found by going through the report of lost answers for the operators' API: a change of members whose leader was lost was answered 409, though it may still be committed; an addition or promotion whose answer was lost was answered 409 when it was sent again, which the command does by itself; and the answer to an unknown outcome spoke of a patch id. Change: such a change is answered 504 and names what to do; an addition or promotion that the membership shows is acknowledged again. A removal can't be told from a mistyped name, so the command adds to a refusal that an earlier attempt got no answer and may have made the change.

--- a/chicorypost/commands/_client.py
+++ b/chicorypost/commands/_client.py
@@ -14,6 +14,7 @@
 from chicorypost.base import Endpoint
 from chicorypost.commands._exit import ExitCode
 from chicorypost.transport import (
+    ExchangeFault,
     ExchangeRequest,
     ExchangeResponse,
     TlsContexts,
@@ -50,6 +51,8 @@
     servers: str
     total_seconds: float = TOTAL_TIMEOUT_SECONDS
     failures: dict[str, str] = field(default_factory=dict)
+    has_unknown_attempt: bool = False
+    """Whether an attempt may have taken effect although its response was lost."""
 
     def parse_endpoints(self) -> list[Endpoint]:
         """Return the addresses of the control instances.
@@ -123,9 +126,12 @@
                 endpoint, request, MAX_RESPONSE_BYTES, self._load_tls_context()
             )
         if not isinstance(result, ExchangeResponse):
+            is_sent = result is None or result.fault is not ExchangeFault.UNREACHABLE
+            self.has_unknown_attempt = self.has_unknown_attempt or is_sent
             self.failures[name] = "no response" if result is None else result.fault.value
             return None
         if result.status in RETRIED_STATUSES:
+            self.has_unknown_attempt = self.has_unknown_attempt or result.status == 504
             self.failures[name] = format_problem(result)
             return None
         return result
--- a/chicorypost/commands/_control.py
+++ b/chicorypost/commands/_control.py
@@ -7,7 +7,7 @@
 
 import cappa
 
-from chicorypost.commands._client import OperatorClient, read_json
+from chicorypost.commands._client import OperatorClient, format_problem, read_json
 from chicorypost.commands._config import Servers
 from chicorypost.commands._daemons import run_daemon_or_exit
 from chicorypost.commands._exit import ExitCode
@@ -15,6 +15,11 @@
 from chicorypost.events import configure_logging
 from chicorypost.transport import ExchangeRequest
 
+UNKNOWN_ATTEMPT_NOTE = (
+    "An earlier attempt of this command got no answer and may have made the change; see "
+    "chicorypost status."
+)
+
 
 @cappa.command(
     name="control",
@@ -67,7 +72,12 @@
         if self.generation:
             body["generation"] = self.generation
         request = ExchangeRequest("POST", "/v1/members", (), json.dumps(body).encode())
-        read_json(OperatorClient(self.servers).run_request(request))
+        client = OperatorClient(self.servers)
+        response = client.run_request(request)
+        if response.status >= 400 and client.has_unknown_attempt:
+            problem = f"{format_problem(response)}\n{UNKNOWN_ATTEMPT_NOTE}"
+            raise cappa.Exit(problem, code=ExitCode.REFUSED)
+        read_json(response)
         print(f"done: {action} {self.instance}")
 
 
--- a/chicorypost/commands/tests/test_operator_commands.py
+++ b/chicorypost/commands/tests/test_operator_commands.py
@@ -5,6 +5,7 @@
 import cappa
 import pytest
 
+import chicorypost.commands._client
 from chicorypost.base import InstanceId, Version
 from chicorypost.commands._client import OperatorClient
 from chicorypost.commands._config import build_version_table
@@ -13,7 +14,7 @@
 from chicorypost.configuration._messages import Laggard
 from chicorypost.daemons._named import to_json_value
 from chicorypost.daemons.tests.control_processes import ControlProcesses, find_free_ports
-from chicorypost.transport import ExchangeRequest
+from chicorypost.transport import ExchangeFailed, ExchangeFault, ExchangeRequest
 
 ADDRESS = "10.0.0.1:80/tcp"
 pytestmark = pytest.mark.xdist_group("control-processes")
@@ -131,3 +132,21 @@
         client.run_request(ExchangeRequest("GET", "/v1/status"))
     assert ended.value.code == ExitCode.UNREACHABLE
     assert f"127.0.0.1:{port}: unreachable" in str(ended.value.message)
+
+
+def test_a_refusal_after_a_lost_answer_says_that_the_change_may_have_been_made(run, monkeypatch):
+    """The first attempt removed the member and its answer was lost; the second finds no member."""
+    attempts = []
+    exchange = chicorypost.commands._client.exchange_once
+
+    async def lose_first_answer(*arguments):
+        attempts.append(arguments)
+        if len(attempts) == 1:
+            return ExchangeFailed(ExchangeFault.BROKEN, "connection lost")
+        return await exchange(*arguments)
+
+    code, _, err = run("members", "remove", "control-9")
+    assert (code, "may have made" in err) == (ExitCode.REFUSED, False)
+    monkeypatch.setattr(chicorypost.commands._client, "exchange_once", lose_first_answer)
+    code, _, err = run("members", "remove", "control-9")
+    assert (code, "may have made" in err) == (ExitCode.REFUSED, True)
--- a/chicorypost/daemons/_control_api.py
+++ b/chicorypost/daemons/_control_api.py
@@ -18,6 +18,8 @@
 from chicorypost.consensus import (
     AddLearner,
     ChangeMembership,
+    ClusterMembership,
+    MemberId,
     MembershipChange,
     PromoteLearner,
     ProposalRefusalReason,
@@ -29,6 +31,8 @@
 from chicorypost.daemons._admin import json_response
 from chicorypost.daemons._control_log import ControlLog
 from chicorypost.daemons._control_problems import (
+    CHANGE_UNKNOWN_TITLE,
+    PATCH_UNKNOWN_TITLE,
     make_log_refused_response,
     make_outcome_unknown_response,
     make_patch_refused_response,
@@ -133,7 +137,7 @@
         match waiter.outcome:
             case PatchAccepted() | PatchRefused() as outcome:
                 return _make_patch_response(outcome)
-        return make_outcome_unknown_response()
+        return make_outcome_unknown_response(PATCH_UNKNOWN_TITLE)
 
     async def get_history(self, request: HttpServerRequest) -> HttpServerResponse:
         """Return the latest changes with author, time and versions, newest first."""
@@ -179,7 +183,11 @@
         return json_response(200, self.dump())
 
     async def change_members(self, request: HttpServerRequest) -> HttpServerResponse:
-        """Add, promote or remove one member of the replicated log."""
+        """Add, promote or remove one member of the replicated log.
+
+        The answer to an earlier attempt may have been lost, so an addition or a promotion that the
+        membership already shows is acknowledged again.
+        """
         change = _parse_membership_change(request)
         if isinstance(change, HttpServerResponse):
             return change
@@ -194,10 +202,14 @@
                 ProposalRefusalReason.OUT_OF_TOUCH,
             ):
                 return make_log_refused_response(refusal)
+            if refusal.reason is ProposalRefusalReason.LEADERSHIP_LOST:
+                return make_outcome_unknown_response(CHANGE_UNKNOWN_TITLE)
+            if _is_made(change, self.replica.membership):
+                return json_response(200, {"changed": to_json_value(change)})
             title = refusal.detail or "The change was refused."
             return make_problem_response(409, refusal.reason.value, title, leader=refusal.leader)
         if waiter.reply is None:
-            return make_outcome_unknown_response()
+            return make_outcome_unknown_response(CHANGE_UNKNOWN_TITLE)
         return json_response(200, {"changed": to_json_value(change)})
 
     async def forget_data_centre(
@@ -209,7 +221,7 @@
         if isinstance(waiter.reply, ProposalRefused):
             return make_log_refused_response(waiter.reply)
         if waiter.outcome is None:
-            return make_outcome_unknown_response()
+            return make_outcome_unknown_response(CHANGE_UNKNOWN_TITLE)
         return json_response(200, to_json_value(waiter.outcome))
 
     def _make_configuration_response(
@@ -275,6 +287,22 @@
     return make_problem_response(400, "malformed", title)
 
 
+def _is_made(change: MembershipChange, membership: ClusterMembership) -> bool:
+    """Return whether a membership shows the result of an addition or promotion.
+
+    A member that is absent doesn't show a removal: its name may be mistyped.
+    """
+    match change:
+        case AddLearner(instance, generation):
+            return MemberId(instance, generation) in membership.members
+        case PromoteLearner(instance, generation):
+            return any(
+                voter.instance == instance and generation in (None, voter.generation)
+                for voter in membership.voters
+            )
+    return False
+
+
 def _make_patch_response(outcome: PatchAccepted | PatchRefused) -> HttpServerResponse:
     if isinstance(outcome, PatchRefused):
         return make_patch_refused_response(outcome)
--- a/chicorypost/daemons/_control_problems.py
+++ b/chicorypost/daemons/_control_problems.py
@@ -56,7 +56,10 @@
     return make_problem_response(503, refusal.reason.value, title, leader=refusal.leader)
 
 
-def make_outcome_unknown_response() -> HttpServerResponse:
+PATCH_UNKNOWN_TITLE = "No answer yet; send the same patch with the same patch id again."
+CHANGE_UNKNOWN_TITLE = "No answer yet; the change may still be made. Send the same change again."
+
+
+def make_outcome_unknown_response(title: str) -> HttpServerResponse:
     """Return the response to a request without a reply of the log in time; it may still commit."""
-    title = "No answer yet; send the same patch with the same patch id again."
     return make_problem_response(504, "outcome-unknown", title)
