--- a/chicorypost/consensus/tests/test_slow_members.py
+++ b/chicorypost/consensus/tests/test_slow_members.py
@@ -14,8 +14,7 @@
 def test_entries_are_not_sent_again_and_again_to_a_member_that_is_frozen():
     """Pattern: many changes while a member is frozen; what is sent to it waits in a queue.
 
-    The leader repeated all that the member lacked with each heartbeat: on leest-gent-large
-    (hunt-d516-7) 0.63 GB between data centres, and a control instance of 97 MB.
+    The leader repeats what the member lacks with each heartbeat.
     """
     cluster = Cluster(3)
     leader = cluster.wait_for_leader()
