Send no entries to a member again before it answers

Ruled out: a longer interval of repeats. It bounds the rate, not the sum, and delays what was really lost.

Change: a heartbeat to a member whose last request is unanswered is a probe, the same request without entries or data. The reply to it shows what the member lacks, and that is sent then.

Entries that are lost arrive within two heartbeats, as before.

--- a/chicorypost/consensus/tests/test_slow_members.py
+++ b/chicorypost/consensus/tests/test_slow_members.py
@@ -14,7 +14,7 @@
 def test_entries_are_not_sent_again_and_again_to_a_member_that_is_frozen():
     """Pattern: many changes while a member is frozen; what is sent to it waits in a queue.
 
-    The leader repeats what the member lacks with each heartbeat.
+    A leader that repeats what the member lacks with each heartbeat fills that queue.
     """
     cluster = Cluster(3)
     leader = cluster.wait_for_leader()
@@ -28,3 +28,36 @@
     sent_bytes = sum(len(encode(event.message)) for event in frozen.inbox[sent_before:])
     allowed = CHANGES * DOCUMENT_BYTES + SILENT_SECONDS * CONTROL_BYTES_PER_SECOND
     assert sent_bytes <= allowed
+
+
+def test_a_snapshot_is_not_sent_again_and_again_to_a_member_that_is_frozen():
+    """Pattern: a member is frozen while it receives a snapshot.
+
+    A leader that repeats the chunk with each heartbeat fills the member's queue.
+    """
+    cluster = Cluster(3, snapshot_interval_records=5, trailing_records=1)
+    leader = cluster.wait_for_leader()
+    frozen = next(node for node in cluster.nodes.values() if node is not leader)
+    cluster.kill(frozen)
+    for number in range(CHANGES):
+        cluster.propose(leader, f"p{number}", bytes(DOCUMENT_BYTES))
+        cluster.deliver_all()
+    cluster.run(1.0)
+    cluster.start(frozen)
+    frozen.is_paused = True
+    cluster.run(SILENT_SECONDS)
+    sent_bytes = sum(len(encode(event.message)) for event in frozen.inbox)
+    allowed = CHANGES * DOCUMENT_BYTES + SILENT_SECONDS * CONTROL_BYTES_PER_SECOND
+    assert sent_bytes <= allowed
+
+
+def test_entries_that_were_lost_are_sent_again_after_the_next_reply():
+    """Pattern: a connection breaks with entries in flight, and the next request gets through."""
+    cluster = Cluster(3)
+    leader = cluster.wait_for_leader()
+    cluster.run(1.0)
+    cut = next(node for node in cluster.nodes.values() if node is not leader)
+    cluster.propose(leader, "lost")
+    cluster.in_flight = [item for item in cluster.in_flight if item[1] != cut.instance]
+    cluster.run(2 * cluster.settings.heartbeat_seconds)
+    assert cut.replica.core.log.last_index == leader.replica.core.log.last_index
