Send a balancer only what it lacks of the table and of the configuration

Cause: a balancer whose connection to a control instance was lost got the whole table at its return, from each instance: positions of the feed were counted for each subscriber, so nothing was known of what it had. It fetched the whole configuration at each version, and asked another instance again after 0.4 s, also while the reply was still on its way over a thin link.

Ruled out: keeping the pages of each subscriber for a while; that is state of balancers times pages.

Change: pages of the feed have one position for all subscribers, and the position of the last change of each upstream is kept. A balancer names its position at a new connection and gets the changes since, or the table if a change since then is forgotten or the instance has restarted. A balancer names the version that it holds and gets the changed routes, with a digest of the result; if that doesn't fit it logs routing-change-unusable and fetches the whole. The timeout of that request doubles with each one in a row without a reply. Earlier builds on either side get and send whole tables and configurations as before.

--- a/benchmarks/feed_bytes.py
+++ b/benchmarks/feed_bytes.py
@@ -1,8 +1,8 @@
 """Bytes per second of the feed of upstream announcements from control instances to balancers.
 
 ``python -m benchmarks.feed_bytes`` counts the bytes that one balancer and one control instance send
-and receive per second, at rest and during a release, and the bytes of a balancer's start. It counts
-frames without TCP and IP headers.
+and receive per second, at rest and during a release, and the bytes of a balancer's start and of its
+return after a cut. It counts frames without TCP and IP headers.
 """
 
 import argparse
@@ -16,6 +16,7 @@
     DirectoryView,
     FeedPage,
     PeerConnected,
+    PeerDisconnected,
     PeersChanged,
     UpstreamCallReceived,
 )
@@ -89,6 +90,16 @@
             self.deliver_event(name, PeerConnected(control))
         return self.byte_counts[name]
 
+    def reconnect_balancer(self) -> int:
+        """Cut the measured balancer off for a moment; return the bytes of its return."""
+        name = self.measured_balancer
+        for control in self.controls:
+            self.deliver_event(name, PeerDisconnected(control))
+        self.byte_counts[name] = 0
+        for control in self.controls:
+            self.deliver_event(name, PeerConnected(control))
+        return self.byte_counts[name]
+
     def deliver_event(self, name: InstanceId, event: Event) -> None:
         """Deliver an event to an instance, and its messages to their receivers, counting bytes."""
         machine = self.registries.get(name) or self.views[name]
@@ -172,6 +183,7 @@
         upstreams=upstreams,
         rest_target=1000,
         release_target=4000,
+        return_balancer_bytes=simulation.reconnect_balancer(),
         start_balancer_bytes=simulation.restart_balancer(),
         **rates,
     )
--- a/benchmarks/upstream_costs.py
+++ b/benchmarks/upstream_costs.py
@@ -111,7 +111,7 @@
         registry.handle(UpstreamCallReceived("call", announcement), START)
     balancer = InstanceId("balancer")
     registry.handle(Received(balancer, Subscribe(0, 0)), START)
-    renewal = Received(balancer, Subscribe(1, registry.feed.subscribers[balancer].position))
+    renewal = Received(balancer, Subscribe(1, registry.feed.position))
     started_at = time.process_time()
     for _ in range(RENEWALS):
         registry.handle(renewal, START)
--- a/chicorypost/announcements/_feed.py
+++ b/chicorypost/announcements/_feed.py
@@ -1,21 +1,36 @@
 """The feed of a control instance: pages of changes for each subscribed balancer."""
 
+from collections import deque
 from collections.abc import Iterable
 
 import msgspec
 
-from chicorypost.announcements._messages import DocumentReply, FeedPage, Subscribe
+from chicorypost.announcements._messages import (
+    DocumentChanged,
+    DocumentReply,
+    FeedPage,
+    Subscribe,
+)
 from chicorypost.announcements._records import ListedUpstream
 from chicorypost.announcements._settings import AnnouncementSettings
 from chicorypost.announcements._table import AnnouncementTable
 from chicorypost.base import Effect, InstanceId, Instant, Send, UpstreamId, Version
-from chicorypost.routing import NO_VERSION, RoutingDocument
+from chicorypost.routing import (
+    NO_VERSION,
+    RoutingChange,
+    RoutingDocument,
+    compute_change,
+    merge_changes,
+)
+
+KEPT_DOCUMENT_CHANGES = 32
+"""Changes of the configuration that can be sent in place of it; enough for a balancer that was cut
+off during a series of changes."""
 
 
 class Subscriber(msgspec.Struct):
-    """Subscription of one balancer: its last page, when that was sent, and when it expires."""
+    """Subscription of one balancer: when its last page was sent, and when it expires."""
 
-    position: int
     sent_at: Instant
     expires_at: Instant
 
@@ -36,6 +51,10 @@
 
     Notes
     -----
+    Every page of changes has the next position, and all subscribers get the same page. For each
+    upstream the position of its last change is kept, so that a balancer whose connection was lost
+    gets the changes since the position that it names, and not the table.
+
     A page of changes costs one message a subscriber, so the rate of pages is limited by the
     generic cell rate algorithm (ITU-T I.371): up to `page_burst` pages are sent at once, and
     further changes wait for the next of the pages that follow every `page_seconds`.
@@ -47,6 +66,12 @@
         self.settings = settings
         self.feed_id = feed_id
         self.table = table
+        self.position = 1
+        """Position of the last page of changes; 0 is that of a balancer without a table."""
+        self.oldest_position = 1
+        """First position since which all changes are known."""
+        self.changed_at: dict[UpstreamId, int] = {}
+        """Position of the last change of each upstream that changed since `oldest_position`."""
         self.unsent: dict[UpstreamId, None] = {}
         """Changed upstreams that are not sent yet, in the order of their changes."""
         self.next_page_at = now
@@ -55,6 +80,8 @@
         self.controls: tuple[InstanceId, ...] = ()
         self.version: Version = NO_VERSION
         self.document: RoutingDocument | None = None
+        self.document_changes: deque[RoutingChange] = deque(maxlen=KEPT_DOCUMENT_CHANGES)
+        """The latest changes of the configuration, in order."""
         self.is_complete = False
 
     def subscribe(
@@ -64,9 +91,10 @@
         is_complete: bool,
         now: Instant,
     ) -> list[Effect]:
-        """Add or renew a subscription; send the full table if the balancer has missed a page.
+        """Add or renew a subscription, and send the balancer what it lacks.
 
-        The table is listed only if it is sent: each balancer renews its subscription every second.
+        It gets the changes since its position, or the full table if they aren't known. The table
+        is listed only if it is sent: each balancer renews its subscription every second.
         """
         self.is_complete = is_complete
         expires_at = Instant(now + self.settings.subscriber_seconds)
@@ -74,19 +102,26 @@
         if subscriber is not None and self._is_current(subscriber, message, now):
             subscriber.expires_at = expires_at
             return []
-        position = subscriber.position if subscriber is not None else 0
-        subscriber = Subscriber(position, now, expires_at)
-        self.subscribers[sender] = subscriber
-        return [self._make_next_page(sender, subscriber, self._list_all(now), True, now)]
+        self.subscribers[sender] = Subscriber(now, expires_at)
+        if message.is_new_connection is not None and self._has_changes_since(message):
+            names = [name for name, at in self.changed_at.items() if at > message.position]
+            listed = self.table.list_upstreams(now, names)
+            return [Send(sender, self._make_page(listed, message.position))]
+        listed = self.table.list_upstreams(now, list(self.table.entries))
+        return [Send(sender, self._make_page(listed, None))]
 
     def _is_current(self, subscriber: Subscriber, message: Subscribe, now: Instant) -> bool:
-        if message.feed_id != self.feed_id:
+        if message.feed_id != self.feed_id or message.is_new_connection:
             return False
-        if message.position == subscriber.position:
+        if message.position == self.position:
             return True
         # The latest page may still be in flight; after `subscribe_seconds` it counts as lost.
         return now - subscriber.sent_at < self.settings.subscribe_seconds and message.position > 0
 
+    def _has_changes_since(self, message: Subscribe) -> bool:
+        is_known_position = self.oldest_position <= message.position <= self.position
+        return message.feed_id == self.feed_id and is_known_position
+
     def publish(
         self, changed: Iterable[UpstreamId], is_complete: bool, now: Instant
     ) -> list[Effect]:
@@ -120,14 +155,21 @@
 
     def set_document(self, document: RoutingDocument, now: Instant) -> list[Effect]:
         """Store a newer configuration and send its version to every subscriber."""
+        if self.document is not None:
+            self.document_changes.append(compute_change(self.document, document))
         self.document = document
         self.version = document.version
         return self._send_pages(now)
 
-    def send_document(self, sender: InstanceId) -> list[Effect]:
-        """Send the newest configuration to a balancer, if there is one."""
+    def send_document(self, sender: InstanceId, held_version: Version) -> list[Effect]:
+        """Send the newest configuration to a balancer, or its difference from the one held."""
         if self.document is None:
             return []
+        changes = [item for item in self.document_changes if item.base_version >= held_version]
+        if changes and changes[0].base_version == held_version:
+            change = merge_changes(changes)
+            if len(change.routes) + len(change.removed_routes) < len(self.document.routes):
+                return [Send(sender, DocumentChanged(change))]
         return [Send(sender, DocumentReply(self.document))]
 
     def remove_expired_subscribers(self, now: Instant) -> None:
@@ -136,35 +178,35 @@
         for name in expired:
             del self.subscribers[name]
 
-    def _list_all(self, now: Instant) -> tuple[ListedUpstream, ...]:
-        return self.table.list_upstreams(now, list(self.table.entries))
+    def forget_upstreams(self, names: Iterable[UpstreamId]) -> None:
+        """Forget upstreams that the table has removed.
+
+        A balancer that has not got the last change of one of them needs the full table.
+        """
+        for name in names:
+            changed_at = self.changed_at.pop(name, 0)
+            self.oldest_position = max(self.oldest_position, changed_at)
 
     def _send_pages(self, now: Instant) -> list[Effect]:
+        previous_position, self.position = self.position, self.position + 1
+        self.changed_at |= dict.fromkeys(self.unsent, self.position)
         listed = self.table.list_upstreams(now, list(self.unsent))
         self.unsent.clear()
         self.next_page_at = Instant(max(self.next_page_at, now) + self.settings.page_seconds)
-        return [
-            self._make_next_page(name, subscriber, listed, False, now)
-            for name, subscriber in self.subscribers.items()
-        ]
-
-    def _make_next_page(
-        self,
-        name: InstanceId,
-        subscriber: Subscriber,
-        listed: tuple[ListedUpstream, ...],
-        is_full: bool,
-        now: Instant,
-    ) -> Effect:
-        subscriber.position += 1
-        subscriber.sent_at = now
-        page = FeedPage(
+        page = self._make_page(listed, previous_position)
+        for subscriber in self.subscribers.values():
+            subscriber.sent_at = now
+        return [Send(name, page) for name in self.subscribers]
+
+    def _make_page(self, listed: tuple[ListedUpstream, ...], since: int | None) -> FeedPage:
+        """Return a page with the changes since a position, or the full table if that is None."""
+        return FeedPage(
             self.feed_id,
-            subscriber.position,
-            is_full,
+            self.position,
+            since is None,
             self.is_complete,
             listed,
             self.controls,
             self.version,
+            since,
         )
-        return Send(name, page)
--- a/chicorypost/announcements/_messages.py
+++ b/chicorypost/announcements/_messages.py
@@ -2,7 +2,7 @@
 
 from chicorypost.announcements._records import ListedUpstream
 from chicorypost.base import InstanceId, Message, Record, UpstreamId, Version
-from chicorypost.routing import RoutingDocument
+from chicorypost.routing import NO_VERSION, RoutingChange, RoutingDocument
 
 
 class AnnouncementTableRequest(Message, frozen=True, array_like=True, tag=800):
@@ -50,10 +50,14 @@
     """Subscribe to the feed; balancers repeat it to renew the subscription.
 
     `feed_id` and `position` identify the last page received; 0 requests the full table.
+    `is_new_connection` is true for the first subscription on a connection, on which no page can be
+    in flight. It is None in messages of earlier builds, which take no page with changes of several
+    positions.
     """
 
     feed_id: int
     position: int
+    is_new_connection: bool | None = None
 
 
 class FeedPage(Message, frozen=True, array_like=True, tag=811):
@@ -64,7 +68,7 @@
     feed_id : int
         Identifies the current run of the control instance.
     position : int
-        Number of the page for this subscriber, incremented by one for each page.
+        Number of the latest change of the table or of the other fields that the page includes.
     is_full : bool
         Whether `listed` holds the full table instead of the changes since the previous page.
     is_complete : bool
@@ -75,6 +79,9 @@
         All control instances.
     version : Version
         Version of the newest configuration of the sender.
+    since : int or None
+        Position from which the page continues; None in messages of earlier builds, which continue
+        from the position before.
     """
 
     feed_id: int
@@ -84,10 +91,17 @@
     listed: tuple[ListedUpstream, ...]
     controls: tuple[InstanceId, ...]
     version: Version
+    since: int | None = None
 
 
 class DocumentRequest(Message, frozen=True, array_like=True, tag=812):
-    """Request the newest configuration of a control instance."""
+    """Request the newest configuration of a control instance.
+
+    `held_version` is that of the configuration from which the reply may be a `DocumentChanged`;
+    0 requests the whole configuration, as earlier builds do.
+    """
+
+    held_version: Version = NO_VERSION
 
 
 class DocumentReply(Message, frozen=True, array_like=True, tag=813):
@@ -96,6 +110,12 @@
     document: RoutingDocument
 
 
+class DocumentChanged(Message, frozen=True, array_like=True, tag=814):
+    """The difference between the version that a `DocumentRequest` named and the newest one."""
+
+    change: RoutingChange
+
+
 REGISTRY_MESSAGES: tuple[type[Message], ...] = (
     AnnouncementTableRequest,
     AnnouncementTableReply,
@@ -107,5 +127,5 @@
 )
 """Messages that a control instance takes."""
 
-VIEW_MESSAGES: tuple[type[Message], ...] = (FeedPage, DocumentReply)
+VIEW_MESSAGES: tuple[type[Message], ...] = (FeedPage, DocumentReply, DocumentChanged)
 """Messages that a balancer takes."""
--- a/chicorypost/announcements/_registry.py
+++ b/chicorypost/announcements/_registry.py
@@ -229,8 +229,8 @@
                     self._mark_complete(now)
             case Subscribe():
                 self.effects += self.feed.subscribe(sender, message, self.is_complete, now)
-            case DocumentRequest():
-                self.effects += self.feed.send_document(sender)
+            case DocumentRequest(held_version=held_version):
+                self.effects += self.feed.send_document(sender, held_version)
             case _:
                 raise TypeError(
                     f"registry received an unsupported message: got {type(message).__name__}"
@@ -315,5 +315,6 @@
             self._mark_complete(now)
         silent = self.table.mark_silent(now, self.settings.silent_seconds)
         self._publish(silent, now, replicate=False)
-        self.table.remove_expired(now, self.settings.forget_seconds)
+        removed = self.table.remove_expired(now, self.settings.forget_seconds)
+        self.feed.forget_upstreams(removed)
         self.feed.remove_expired_subscribers(now)
--- a/chicorypost/announcements/_table.py
+++ b/chicorypost/announcements/_table.py
@@ -141,8 +141,8 @@
                 marked.append(name)
         return marked
 
-    def remove_expired(self, now: Instant, seconds: float) -> None:
-        """Remove upstreams without contact for `seconds`."""
+    def remove_expired(self, now: Instant, seconds: float) -> list[UpstreamId]:
+        """Remove upstreams without contact for `seconds`; return the removed ones."""
         expired = [
             name for name, entry in self.entries.items() if now - entry.last_contact_at >= seconds
         ]
@@ -150,6 +150,7 @@
             endpoint = self.entries.pop(name).announcement.endpoint
             if self.upstream_by_endpoint.get(endpoint) == name:
                 del self.upstream_by_endpoint[endpoint]
+        return expired
 
     def list_upstreams(
         self, now: Instant, names: Iterable[UpstreamId]
--- a/chicorypost/announcements/_view.py
+++ b/chicorypost/announcements/_view.py
@@ -4,7 +4,9 @@
 
 import msgspec
 
+from chicorypost.announcements import _events
 from chicorypost.announcements._messages import (
+    DocumentChanged,
     DocumentReply,
     DocumentRequest,
     FeedPage,
@@ -31,11 +33,16 @@
     UpstreamId,
     Version,
 )
-from chicorypost.routing import NO_VERSION, RoutingDocument
+from chicorypost.routing import NO_VERSION, RoutingChange, RoutingDocument, apply_change
 
 DOCUMENT_TIMEOUT_SECONDS = 0.4
 """Timeout of a configuration request, after which another control instance is tried; several round
-trips between data centres."""
+trips between data centres. Doubles with each request in a row that gets no reply, since a reply may
+take longer than this on a thin link, and more replies would take the link from it."""
+MAX_DOCUMENT_TIMEOUT_SECONDS = 3.2
+
+
+FAR_PAST = Instant(float("-inf"))
 
 
 class VisibleUpstream(msgspec.Struct, frozen=True):
@@ -76,6 +83,10 @@
     """State received from one control instance."""
 
     is_connected: bool = True
+    is_current: bool = False
+    """Whether a page has come on the present connection, so that no change is missing."""
+    page_deadline: Instant = FAR_PAST
+    """Time at which the full table is requested unless the first page has come."""
     feed_id: int = 0
     position: int = 0
     is_complete: bool = False
@@ -114,6 +125,10 @@
         self.document: RoutingDocument | None = None
         self.document_source: InstanceId | None = None
         self.document_deadline = now
+        self.document_timeouts = 0
+        """Configuration requests in a row that got no reply."""
+        self.needs_whole_document = False
+        """Whether the last change of the configuration didn't fit."""
         self.subscribe_at = now
         self.controls: frozenset[InstanceId] = frozenset()
         self.effects: list[Effect] = []
@@ -141,8 +156,9 @@
             case PeerConnected(peer):
                 feed = self.feeds.setdefault(peer, ControlFeed())
                 feed.is_connected = True
-                feed.position = 0
-                self._send(peer, Subscribe(0, 0))
+                feed.is_current = False
+                feed.page_deadline = Instant(now + self.settings.subscribe_seconds)
+                self._send(peer, Subscribe(feed.feed_id, feed.position, True))
             case PeerDisconnected(peer):
                 self._handle_disconnect(peer, now)
             case SeedsChanged(seeds):
@@ -151,6 +167,8 @@
                 self._apply_page(sender, page, now)
             case Received(_, DocumentReply(document)):
                 self._apply_document(document)
+            case Received(sender, DocumentChanged(change)):
+                self._apply_change(sender, change)
             case Tick():
                 self._check_deadlines(now)
             case _:
@@ -199,17 +217,16 @@
 
     def _apply_page(self, sender: InstanceId, page: FeedPage, now: Instant) -> None:
         feed = self.feeds.setdefault(sender, ControlFeed())
-        is_next = page.feed_id == feed.feed_id and page.position == feed.position + 1
-        if not page.is_full and not is_next:
+        if not page.is_full and not _continues(page, feed):
             # A page was missed, so request the full table.
-            self._send(sender, Subscribe(0, 0))
+            self._send(sender, Subscribe(0, 0, False))
             return
         changed = {item.announcement.upstream for item in page.listed}
         if page.is_full:
             changed |= set(feed.listed)
             feed.listed = {}
         was_complete, feed.is_complete = feed.is_complete, page.is_complete
-        feed.is_connected = True
+        feed.is_connected = feed.is_current = True
         feed.feed_id, feed.position = page.feed_id, page.position
         feed.controls, feed.version = page.controls, page.version
         feed.listed.update({item.announcement.upstream: item for item in page.listed})
@@ -254,28 +271,51 @@
     def _is_silent(
         self, name: UpstreamId, announcement: Announcement, known: VisibleUpstream | None
     ) -> bool:
-        connected = [feed for feed in self.feeds.values() if feed.is_connected and feed.position]
-        for feed in connected:
+        current = [feed for feed in self.feeds.values() if feed.is_connected and feed.is_current]
+        for feed in current:
             item = feed.listed.get(name)
             is_same_run = (
                 item is not None and item.announcement.started_at_ms == announcement.started_at_ms
             )
             if item is not None and is_same_run and not item.is_silent:
                 return False
-        if any(feed.is_complete for feed in connected):
+        if any(feed.is_complete for feed in current):
             return True
         return known.is_silent if known is not None else False
 
     def _apply_document(self, document: RoutingDocument) -> None:
-        self.document_source = None
+        self._end_document_request()
+        self.needs_whole_document = False
         if document.version > self.version:
             self.document = document
             self.effects.append(RoutingApplied(document))
 
+    def _apply_change(self, sender: InstanceId, change: RoutingChange) -> None:
+        """Apply a change of the configuration; request the whole one if the change doesn't fit."""
+        if change.version <= self.version:
+            self._end_document_request()
+            return
+        document = apply_change(self.document, change) if self.document is not None else None
+        if document is not None:
+            self._apply_document(document)
+            return
+        self._end_document_request()
+        self.needs_whole_document = True
+        unusable = _events.ROUTING_CHANGE_UNUSABLE.emit(
+            peer=sender, held=self.version, base=change.base_version, version=change.version
+        )
+        self.effects.append(unusable)
+
+    def _end_document_request(self) -> None:
+        self.document_source = None
+        self.document_timeouts = 0
+
     def _request_document(self, now: Instant) -> None:
         """Request a newer configuration from one control instance at a time."""
-        if self.document_source is not None and now < self.document_deadline:
-            return
+        if self.document_source is not None:
+            if now < self.document_deadline:
+                return
+            self.document_timeouts += 1
         newer = [
             (feed.version, name != self.document_source, name)
             for name, feed in self.feeds.items()
@@ -283,8 +323,10 @@
         ]
         self.document_source = max(newer)[2] if newer else None
         if self.document_source is not None:
-            self.document_deadline = Instant(now + DOCUMENT_TIMEOUT_SECONDS)
-            self._send(self.document_source, DocumentRequest())
+            seconds = DOCUMENT_TIMEOUT_SECONDS * 2**self.document_timeouts
+            self.document_deadline = Instant(now + min(seconds, MAX_DOCUMENT_TIMEOUT_SECONDS))
+            held_version = NO_VERSION if self.needs_whole_document else self.version
+            self._send(self.document_source, DocumentRequest(held_version))
 
     def _update_controls(self) -> None:
         reported = [feed.controls for feed in self.feeds.values() if feed.is_connected]
@@ -302,8 +344,12 @@
             return
         self.subscribe_at = Instant(now + self.settings.subscribe_seconds)
         for name, feed in self.feeds.items():
-            if feed.is_connected:
-                self._send(name, Subscribe(feed.feed_id, feed.position))
+            if not feed.is_connected:
+                continue
+            if feed.is_current:
+                self._send(name, Subscribe(feed.feed_id, feed.position, False))
+            elif now >= feed.page_deadline:
+                self._send(name, Subscribe(0, 0, False))
         self._remove_expired(now)
 
     def _remove_expired(self, now: Instant) -> None:
@@ -317,3 +363,9 @@
                 feed.listed.pop(name, None)
         if expired:
             self.effects.append(VisibleUpstreamsChanged((), tuple(expired)))
+
+
+def _continues(page: FeedPage, feed: ControlFeed) -> bool:
+    """Return whether a page of changes misses none since the last page of the same feed."""
+    since = page.position - 1 if page.since is None else page.since
+    return page.feed_id == feed.feed_id and since <= feed.position <= page.position
--- a/chicorypost/announcements/tests/test_dissemination.py
+++ b/chicorypost/announcements/tests/test_dissemination.py
@@ -218,10 +218,10 @@
     """Let many upstreams of a data centre announce themselves within a tenth of a second."""
     network.run(3.0)
     feed = network.registries["c1"].feed
-    before = feed.subscribers[network.balancer].position
+    before = feed.position
     for number in range(count):
         network.announce("c1", ready(1, UpstreamId(f"i-{number}"), f"10.1.0.{number}"))
-    return lambda: feed.subscribers[network.balancer].position - before
+    return lambda: feed.position - before
 
 
 def test_many_changes_at_once_cost_few_pages(network):
--- a/chicorypost/roles/tests/test_unexpected_errors.py
+++ b/chicorypost/roles/tests/test_unexpected_errors.py
@@ -17,11 +17,12 @@
 from chicorypost.events import Emit
 from chicorypost.roles._event_log import EventLog
 from chicorypost.roles.tests.test_startup_balancer import StartupScenario
-from chicorypost.routing import RoutingDocument
+from chicorypost.routing import NO_VERSION, RoutingChange, RoutingDocument
 
 PEER = InstanceId("10.0.0.2:80")
 SETTINGS = AnnouncementSettings()
 EMPTY_DOCUMENT = RoutingDocument(Version(1), (), (), 15.0)
+EMPTY_CHANGE = RoutingChange(NO_VERSION, NO_VERSION, (), (), (), (), 15.0, 0)
 
 
 def make_dispatcher(machine, messages):
@@ -33,7 +34,12 @@
 
 def make_message(message_type: type[Message]) -> Message:
     """Return a message of a type with empty fields, as a peer of another build might send it."""
-    values = {"tuple": (), "bool": False, "RoutingDocument": EMPTY_DOCUMENT}
+    values = {
+        "tuple": (),
+        "bool": False,
+        "RoutingDocument": EMPTY_DOCUMENT,
+        "RoutingChange": EMPTY_CHANGE,
+    }
     fields = [
         values.get(str(getattr(field.type, "__name__", field.type)).split("[")[0], 0)
         for field in msgspec.structs.fields(message_type)
--- a/chicorypost/routing/__init__.py
+++ b/chicorypost/routing/__init__.py
@@ -1,5 +1,11 @@
 """Versioned routing configurations; the one with the highest version is in force."""
 
+from chicorypost.routing._change import (
+    RoutingChange,
+    apply_change,
+    compute_change,
+    merge_changes,
+)
 from chicorypost.routing._document import (
     InvalidRouting,
     Retryability,
@@ -23,11 +29,15 @@
     "InvalidRouting",
     "Retryability",
     "Route",
+    "RoutingChange",
     "RoutingDocument",
     "RoutingState",
     "ServiceSpec",
     "StoredConfiguration",
     "WeightedService",
+    "apply_change",
+    "compute_change",
     "make_store_command",
+    "merge_changes",
     "validate_routing",
 ]
