Don't serve connections that were given up, and encode a page once

Cause: balancers give up on a control instance that is frozen and dial again. And a page for all balancers was encoded for each of them.

Change: after the hello of an accepted connection, its end is read if it is there; such a connection is closed without handling its messages. The frame of the latest message is kept, so a page to many peers in a row is encoded once.

--- a/benchmarks/control_costs.py
+++ b/benchmarks/control_costs.py
@@ -1,6 +1,6 @@
 """Processor time of one control instance, by connected balancers and by calls of upstreams.
 
-``python -m benchmarks.control_costs [--balancers N ...] [--upstreams N] [--seconds S]``
+``python -m benchmarks.control_costs [--balancers N ...] [--upstreams N] [--changing N]``
 
 The control instance is a real process. Its balancers are connections of the measuring process, each
 with the state machine that merges the feeds, so that both ends of a connection are measured.
@@ -90,8 +90,12 @@
             await self.engine.run_timer()
 
 
-async def announce_periodically(number: int, upstreams: int) -> None:
-    """Call the control instance as one upstream, on a connection that stays open."""
+async def announce_periodically(number: int, upstreams: int, is_changing: bool) -> None:
+    """Call the control instance as one upstream, on a connection that stays open.
+
+    If `is_changing`, the upstream is ready and draining by turns, so that each call is a change
+    that all balancers get.
+    """
     await trio.sleep(ANNOUNCEMENT_SECONDS * number / upstreams)
     connection: HttpConnection | ExchangeFailed = await open_http(CALL_ENDPOINT, 4096)
     for sequence in itertools.count(1):
@@ -101,7 +105,7 @@
             "zone": "a",
             "version": "v1",
             "max_concurrency": 2,
-            "state": "ready",
+            "state": "draining" if is_changing and sequence % 2 else "ready",
             "warmup_left_ms": 0,
             "seq": sequence,
             "born": 1,
@@ -130,7 +134,9 @@
     return RoleProcess("control", fields, folder), settings
 
 
-async def measure(balancers: int, upstreams: int, seconds: float, folder: Path) -> None:
+async def measure(
+    balancers: int, upstreams: int, is_changing: bool, seconds: float, folder: Path
+) -> None:
     """Measure one control instance with a number of balancers and upstreams."""
     control, settings = _make_settings(folder)
     control.start()
@@ -140,7 +146,7 @@
             for number in range(balancers):
                 nursery.start_soon(SimulatedBalancer(settings, number).run)
             for number in range(upstreams):
-                nursery.start_soon(announce_periodically, number, upstreams)
+                nursery.start_soon(announce_periodically, number, upstreams, is_changing)
             await trio.sleep(SETTLE_SECONDS)
             assert control.process is not None
             process = psutil.Process(control.process.pid)
@@ -158,6 +164,7 @@
         "control_costs",
         balancers=balancers,
         upstreams=upstreams,
+        changes_per_second=round(upstreams / ANNOUNCEMENT_SECONDS) if is_changing else 0,
         control_cores=round(used, 4),
         control_megabytes=round(memory, 1),
         balancer_cores=round(own / balancers, 6) if balancers and not upstreams else None,
@@ -165,16 +172,19 @@
 
 
 def main() -> None:
-    """Measure each number of balancers without upstreams, then upstreams without balancers."""
+    """Measure balancers without upstreams, upstreams without balancers, then both with changes."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--balancers", type=int, nargs="+", default=[50, 200])
     parser.add_argument("--upstreams", type=int, default=150)
     parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument("--changing", type=int, default=30)
     options = parser.parse_args()
-    cases = [(balancers, 0) for balancers in options.balancers] + [(0, options.upstreams)]
-    for balancers, upstreams in cases:
+    cases = [(balancers, 0, False) for balancers in options.balancers]
+    cases += [(0, options.upstreams, False)]
+    cases += [(balancers, options.changing, True) for balancers in options.balancers]
+    for case in cases:
         with tempfile.TemporaryDirectory() as folder:
-            trio.run(measure, balancers, upstreams, options.seconds, Path(folder))
+            trio.run(measure, *case, options.seconds, Path(folder))
 
 
 if __name__ == "__main__":
--- a/chicorypost/transport/_frames.py
+++ b/chicorypost/transport/_frames.py
@@ -44,6 +44,12 @@
             self.frame_buffer.append_bytes(data)
         return message
 
+    async def receive_bytes(self) -> bool:
+        """Wait for bytes and keep them for `receive_message`; return False at the stream's end."""
+        data = await self.stream.receive_some(RECEIVE_BYTES)
+        self.frame_buffer.append_bytes(data)
+        return bool(data)
+
     def _describe_truncation(self) -> Undecodable:
         detail = f"stream ended inside a frame after {len(self.frame_buffer.buffer)} bytes of it"
         return Undecodable(DecodeFault.MALFORMED, detail)
--- a/chicorypost/transport/_peers.py
+++ b/chicorypost/transport/_peers.py
@@ -1,6 +1,7 @@
 """Connections between instances: one dialled connection per peer, checked by heartbeats."""
 
 import contextlib
+import select
 from collections.abc import Callable
 
 import msgspec
@@ -101,6 +102,8 @@
     received_bytes: int = 0
     refused_connections: int = 0
     nursery: trio.Nursery | None = None
+    latest_frame: tuple[Message, bytes] | None = None
+    """The message that was encoded last, and its frame."""
 
     def learn_address(self, instance: InstanceId, endpoint: Endpoint) -> None:
         """Store the address on which an instance listens."""
@@ -223,14 +226,20 @@
     async def _send_queue(self, link: PeerLink, stream: trio.abc.Stream) -> None:
         # One write sends all queued messages: fewer system calls and packets under load.
         async for message in link.receive_channel:
-            parts = [encode_frame(message)]
+            parts = [self._encode_message(message)]
             while link.receive_channel.statistics().current_buffer_used:
-                parts.append(encode_frame(link.receive_channel.receive_nowait()))
+                parts.append(self._encode_message(link.receive_channel.receive_nowait()))
             data = b"".join(parts)
             await stream.send_all(data)
             link.sent_messages += len(parts)
             link.sent_bytes += len(data)
 
+    def _encode_message(self, message: Message) -> bytes:
+        """Return the frame of a message; one that goes to many peers in a row is encoded once."""
+        if self.latest_frame is None or self.latest_frame[0] is not message:
+            self.latest_frame = (message, encode_frame(message))
+        return self.latest_frame[1]
+
     async def _queue_heartbeats(self, link: PeerLink) -> None:
         number = 0
         while True:
@@ -282,7 +291,12 @@
             stream, names = accepted
             reader = FrameReader(stream)
             hello = await reader.receive_message()
+            has_ended = _is_readable(tcp) and not await reader.receive_bytes()
         async with stream:
+            if has_ended:
+                # The peer gave up while this process was frozen or busy, and dials again: messages
+                # on this connection are out of date, and replies to them would be lost.
+                return
             if not isinstance(hello, ConnectionHello):
                 self._report_refusal(
                     "unknown", f"first message is {hello!r:.200}, allowed is a hello"
@@ -366,3 +380,10 @@
     while link.receive_channel.statistics().current_buffer_used:
         link.receive_channel.receive_nowait()
         link.dropped_messages += 1
+
+
+def _is_readable(tcp: trio.SocketStream) -> bool:
+    """Return whether bytes or the end of the stream can be read without waiting."""
+    poller = select.poll()
+    poller.register(tcp.socket.fileno(), select.POLLIN)
+    return bool(poller.poll(0))
--- a/chicorypost/transport/tests/test_transport.py
+++ b/chicorypost/transport/tests/test_transport.py
@@ -339,6 +339,91 @@
     assert received == [TextMessage("to the newer one")]
 
 
+@pytest.mark.parametrize("port", [0, 1], ids=["non-listening", "listening"])
+def test_connections_that_were_given_up_before_they_were_accepted_are_not_served(port):
+    """Pattern: hundreds of dialling peers give up on a frozen process and dial again.
+
+    At its return the process served each of these connections, with a table for every one.
+    """
+    received: list[tuple[str, str]] = []
+    connected: list[str] = []
+    names = [InstanceId(f"b{number}") for number in range(40)]
+
+    def receive(sender, message):
+        received.append((sender, message.text))
+
+    async def open_connection(endpoint, name, text):
+        hello = ConnectionHello(
+            name, Incarnation(1), DataCentreId("gent"), Endpoint("127.0.0.1", port)
+        )
+        stream = await trio.open_tcp_stream(endpoint.host, endpoint.port)
+        await stream.send_all(encode_frame(hello) + encode_frame(TextMessage(text)))
+        return stream
+
+    async def scenario(nursery):
+        (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        endpoint = endpoint_of(listener)
+        for name in names:
+            await (await open_connection(endpoint, name, "given up")).aclose()
+        streams = [await open_connection(endpoint, name, "live") for name in names]
+        tls = TlsContexts(TlsSettings(off=True), lambda _: None)
+        hello = ConnectionHello(InstanceId("s"), Incarnation(1), DataCentreId("gent"), endpoint)
+        server = PeerNetwork(
+            TransportSettings(),
+            hello,
+            tls,
+            receive,
+            lambda _: None,
+            on_connected=connected.append,
+        )
+        nursery.start_soon(server.run, listener)
+        while len(received) < len(names):
+            await trio.sleep(0.01)
+        await trio.testing.wait_all_tasks_blocked()
+        for stream in streams:
+            await stream.aclose()
+
+    run(scenario)
+    assert sorted(received) == sorted((name, "live") for name in names)
+    assert sorted(connected) == (sorted(names) if port == 0 else [])
+
+
+def test_a_message_to_many_peers_is_encoded_once(monkeypatch):
+    """Pattern: a page of changes for hundreds of peers; encoding it for each grows with both."""
+    encoded: list[Message] = []
+    received: list[object] = []
+    names = [InstanceId(f"b{number}") for number in range(20)]
+
+    def count_encoding(message):
+        encoded.append(message)
+        return encode_frame(message)
+
+    monkeypatch.setattr("chicorypost.transport._peers.encode_frame", count_encoding)
+
+    async def scenario(nursery):
+        server = await start_network(nursery, "server", lambda *_: None, [])
+        for name in names:
+            dialler = await start_dialler(
+                nursery,
+                name,
+                lambda _, message: received.append(message),
+                [],
+                lambda _: server.hello.control,
+                lambda _: None,
+            )
+            dialler.maintain_connection(InstanceId("server"))
+        while not all(server.is_connected(name) for name in names):
+            await trio.sleep(0.01)
+        page = TextMessage("page")
+        for name in names:
+            server.send(name, page)
+        while received.count(page) < len(names):
+            await trio.sleep(0.01)
+
+    run(scenario)
+    assert encoded.count(TextMessage("page")) < len(names) / 2
+
+
 class NumberMessage(Message, frozen=True, array_like=True, tag=9_701):
     """Message whose number may be too large for the codec."""
 
