Reach a peer soon that gets power after an attempt to connect has begun

Cause: a machine without power never answers an attempt to connect, also when it has power a moment later. After a loss of power everywhere balancers may start before control instances, and an attempt lasted 0.7 s.

Ruled out: a fixed short timeout, which would never reach a distant instance.

Change: the first attempt lasts 0.1 s, each further one 0.1 s longer up to 0.7 s, both in the start of a balancer and in the connections of the roles (setting first_dial_seconds, for the daemons as long as before). The role leaves packets in the socket for up to 1.4 s until it has a configuration and upstreams.

--- a/chicorypost/roles/_balancer.py
+++ b/chicorypost/roles/_balancer.py
@@ -26,6 +26,9 @@
 
 READINESS_POLL_SECONDS = 0.02
 """Interval at which a balancer checks whether it has become ready."""
+MAX_HOLD_SECONDS = 1.4
+"""How long packets wait in the socket for the configuration and the upstreams; clients give up the
+opening of a flow after this time."""
 DRAIN_SECONDS = 2.5
 """How long packets are still forwarded after a stop has begun: the network fabric probes twice a
 second and takes an instance out of rotation after two failed probes."""
@@ -182,6 +185,9 @@
         )
 
     async def _forward_packets(self) -> None:
+        with trio.move_on_after(MAX_HOLD_SECONDS):
+            while self.router.document is None or not self.router.upstreams:
+                await trio.sleep(READINESS_POLL_SECONDS)
         while True:
             deadline = self.core.pacer.next_deadline()
             with trio.CancelScope(deadline=math.inf if deadline is None else deadline):
--- a/chicorypost/roles/_process.py
+++ b/chicorypost/roles/_process.py
@@ -21,6 +21,7 @@
 """A connection that receives nothing for this long is closed; half of the time in which a change
 must reach every balancer."""
 CONNECT_TIMEOUT_SECONDS = 0.7
+FIRST_CONNECT_TIMEOUT_SECONDS = 0.1
 RECONNECT_DELAY_SECONDS = 0.2
 
 
@@ -45,6 +46,7 @@
             heartbeat_seconds=PEER_HEARTBEAT_SECONDS,
             silence_seconds=PEER_TIMEOUT_SECONDS,
             dial_seconds=CONNECT_TIMEOUT_SECONDS,
+            first_dial_seconds=FIRST_CONNECT_TIMEOUT_SECONDS,
             redial_seconds=RECONNECT_DELAY_SECONDS,
         ),
         hello,
--- a/chicorypost/roles/_startup_balancer.py
+++ b/chicorypost/roles/_startup_balancer.py
@@ -28,10 +28,13 @@
 
 POLL_INTERVAL_SECONDS = 0.003
 """Minimum time between two polls of the sockets; each poll costs a system call."""
-RECONNECT_DELAY_SECONDS = 0.1
+RECONNECT_DELAY_SECONDS = 0.05
 """Pause before reconnecting to a seed; control instances may start at the same time as this one."""
-CONNECT_TIMEOUT_SECONDS = 0.7
-"""Timeout of a connection attempt; a seed without power never answers."""
+CONNECT_TIMEOUT_STEP_SECONDS = 0.1
+"""Timeout of the first connection attempt, and by how much that of each further one is longer. A
+seed that had no power when an attempt began doesn't answer it later, and after a loss of power
+everywhere it may have started meanwhile; a distant seed is reached by a longer attempt."""
+MAX_CONNECT_TIMEOUT_SECONDS = 0.7
 RECEIVE_BUFFER_BYTES = 64 * 1024
 
 
@@ -64,6 +67,7 @@
         self.send_buffer = b""
         self.next_connect_at = Instant(0.0)
         self.connect_deadline = Instant(0.0)
+        self.connect_attempts = 0
 
     def start_connecting(self, now: Instant) -> bool:
         """Start connecting if a connection attempt is due; return whether a socket was opened."""
@@ -73,7 +77,9 @@
         self.socket.setblocking(False)
         self.frame_buffer = FrameBuffer()
         self.send_buffer = self.hello_frame
-        self.connect_deadline = Instant(now + CONNECT_TIMEOUT_SECONDS)
+        self.connect_attempts += 1
+        timeout = CONNECT_TIMEOUT_STEP_SECONDS * self.connect_attempts
+        self.connect_deadline = Instant(now + min(timeout, MAX_CONNECT_TIMEOUT_SECONDS))
         status = self.socket.connect_ex(self.address)
         if status not in (0, errno.EINPROGRESS):
             self.close(now)
@@ -193,6 +199,7 @@
                 self._disconnect(connection, now, "unreachable")
                 return
             connection.is_connected = True
+            connection.connect_attempts = 0
             self.event_log.emit(PEER_CONNECTED.emit(peer=connection.peer))
             self.dispatcher.post(PeerConnected(connection.peer))
         match connection.send_and_receive():
--- a/chicorypost/roles/tests/test_balancer_stop.py
+++ b/chicorypost/roles/tests/test_balancer_packets.py
@@ -1,4 +1,7 @@
-"""Planned stop of a balancer: packets are forwarded until the fabric has stopped sending them."""
+"""Packets at the start and the stop of a balancer role.
+
+At a planned stop packets are forwarded until the fabric has stopped sending them.
+"""
 
 import os
 import signal
@@ -49,7 +52,7 @@
         return Endpoint(*unused.getsockname())
 
 
-def make_role(upstream_socket):
+def make_unconfigured_role():
     packets = find_free_endpoint()
     settings = NodeSettings(
         name="balancer-1",
@@ -67,7 +70,11 @@
         stop_seconds=6.0,
     )
     event_log = EventLog(lambda _, __: None)
-    role = BalancerRole(BalancerCore(settings, event_log), event_log)
+    return BalancerRole(BalancerCore(settings, event_log), event_log)
+
+
+def configure(role, upstream_socket):
+    """Give a role a route and one upstream."""
     address = make_address("198.18.0.1", 443)
     shares = (WeightedService(SERVICE, 1),)
     route = Route("r", address, shares, Retryability.NON_IDEMPOTENT, 1000, 100, 1)
@@ -90,7 +97,6 @@
         0,
     )
     role.engine.post(VisibleUpstreamsChanged((VisibleUpstream(announcement, False, Instant(0.0)),)))
-    return role
 
 
 @pytest.fixture
@@ -105,7 +111,8 @@
     received = []
 
     async def stop_and_send():
-        role = make_role(upstream_socket)
+        role = make_unconfigured_role()
+        configure(role, upstream_socket)
         target = role.settings.packets
         async with trio.open_nursery() as nursery:
             nursery.start_soon(role.run)
@@ -123,3 +130,28 @@
 
     assert trio.run(stop_and_send) >= SHORT_DRAIN_SECONDS
     assert [data[TOKEN_BYTES:][:COOKIE_OFFSET] for data in received] == [SYN[:COOKIE_OFFSET]] * 3
+
+
+def test_packets_that_come_before_the_configuration_are_forwarded_after_it(upstream_socket):
+    """Pattern: power lost everywhere; clients' packets come before control instances answer.
+
+    An opening that was dropped cost its client 0.2 s until the next copy.
+    """
+
+    async def send_and_configure():
+        role = make_unconfigured_role()
+        target = role.settings.packets
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(role.run)
+            await trio.sleep(0.1)
+            with bind_socket() as client:
+                client.sendto(SYN, (target.host, target.port))
+                await trio.sleep(0.1)
+                configure(role, upstream_socket)
+                data = await trio.to_thread.run_sync(upstream_socket.recv, 2048)
+            nursery.cancel_scope.cancel()
+        role.core.packet_socket.close()
+        return data
+
+    data = trio.run(send_and_configure)
+    assert data[TOKEN_BYTES:][:COOKIE_OFFSET] == SYN[:COOKIE_OFFSET]
--- a/chicorypost/roles/tests/test_startup_balancer.py
+++ b/chicorypost/roles/tests/test_startup_balancer.py
@@ -192,6 +192,28 @@
     assert startup.run_until(lambda: startup.received_messages(Subscribe))
 
 
+def test_a_seed_whose_power_returns_later_is_reached_soon(startup):
+    """Pattern: power lost everywhere; control instances have power again after the balancers.
+
+    A connection attempt that begins before that gets no answer and delayed the first flow by the
+    whole timeout of the attempt.
+    """
+    startup.control.listener.listen(0)
+    blockers = [socket.socket() for _ in range(3)]
+    for blocker in blockers:
+        blocker.setblocking(False)
+        blocker.connect_ex((LOOPBACK, startup.control.port))
+    started_at = startup.now
+    while startup.now < started_at + 0.22:
+        startup.now += POLL_INTERVAL_SECONDS
+        startup.balancer.run_once()
+    power_returned_at = startup.now
+    assert startup.run_until(lambda: startup.received_messages(Subscribe))
+    assert startup.now - power_returned_at < 0.35
+    for blocker in blockers:
+        blocker.close()
+
+
 def test_balancer_reconnects_to_a_seed_that_closes(startup):
     startup.control.listen()
     assert startup.run_until(lambda: startup.received_messages(Subscribe))
--- a/chicorypost/transport/_peers.py
+++ b/chicorypost/transport/_peers.py
@@ -46,6 +46,8 @@
     send_channel: trio.MemorySendChannel[Message]
     receive_channel: trio.MemoryReceiveChannel[Message]
     is_connected: bool = False
+    dial_attempts: int = 0
+    """Attempts to open a connection since the last one that was open."""
     sent_messages: int = 0
     sent_bytes: int = 0
     dropped_messages: int = 0
@@ -175,6 +177,7 @@
 
     def _mark_connected(self, link: PeerLink) -> None:
         link.is_connected = True
+        link.dial_attempts = 0
         self.emit(PEER_CONNECTED.emit(peer=link.peer))
         self.on_connected(link.peer)
 
@@ -185,7 +188,7 @@
             self.on_lost(link.peer)
 
     async def _run_connection(self, link: PeerLink) -> str:
-        stream = await self._dial(link.peer)
+        stream = await self._dial(link)
         if stream is None:
             _discard_queue(link)
             return "unreachable"
@@ -207,17 +210,19 @@
             self._report_error(link.peer, errors.exceptions[0])
         return reason
 
-    async def _dial(self, peer: InstanceId) -> trio.abc.Stream | None:
-        endpoint = self.addresses.get(peer) or self.resolve(peer)
+    async def _dial(self, link: PeerLink) -> trio.abc.Stream | None:
+        endpoint = self.addresses.get(link.peer) or self.resolve(link.peer)
         if endpoint is None:
             return None
+        link.dial_attempts += 1
+        seconds = self.settings.first_dial_seconds * link.dial_attempts
         try:
-            with trio.fail_after(self.settings.dial_seconds):
+            with trio.fail_after(min(seconds, self.settings.dial_seconds)):
                 tcp = await trio.open_tcp_stream(endpoint.host, endpoint.port)
                 context = self.tls.get_client_context()
                 if context is None:
                     return tcp
-                tls = trio.SSLStream(tcp, context, server_hostname=peer, https_compatible=True)
+                tls = trio.SSLStream(tcp, context, server_hostname=link.peer, https_compatible=True)
                 await tls.do_handshake()
                 return tls
         except (OSError, trio.TooSlowError, trio.BrokenResourceError):
--- a/chicorypost/transport/_settings.py
+++ b/chicorypost/transport/_settings.py
@@ -51,6 +51,9 @@
         A connection is closed and reopened after this time without a received message.
     dial_seconds : float, default 1.0
         Timeout of opening a connection.
+    first_dial_seconds : float, default 1.0
+        Timeout of the first attempt in a row, and by how much that of each further one is longer,
+        up to `dial_seconds`. A peer that had no power when an attempt began never answers it.
     redial_seconds : float, default 0.25
         Delay before a failed connection is reopened.
     queue_messages : int, default 2048
@@ -64,6 +67,7 @@
     heartbeat_seconds: Annotated[float, Bound(gt=0, le=60)] = 1.0
     silence_seconds: Annotated[float, Bound(gt=0, le=300)] = 3.0
     dial_seconds: Annotated[float, Bound(gt=0, le=60)] = 1.0
+    first_dial_seconds: Annotated[float, Bound(gt=0, le=60)] = 1.0
     redial_seconds: Annotated[float, Bound(gt=0, le=60)] = 0.25
     queue_messages: Annotated[int, Bound(ge=1)] = 2048
     connections: Annotated[int, Bound(ge=1)] = 2000
--- a/chicorypost/transport/tests/test_transport.py
+++ b/chicorypost/transport/tests/test_transport.py
@@ -1,6 +1,8 @@
 """Tests of peer connections and HTTP over loopback sockets, in real time."""
 
+import contextlib
 import functools
+import socket
 
 import pytest
 import trio
@@ -227,12 +229,19 @@
     assert ("peer-lost", "silent") in [(e.spec.name, e.fields.get("reason")) for e in log]
 
 
-async def start_dialler(nursery, name, receive, log, resolve, on_connected):
+async def start_dialler(
+    nursery,
+    name,
+    receive,
+    log,
+    resolve,
+    on_connected,
+    settings=TransportSettings(redial_seconds=0.02),  # noqa: B008
+):
     hello = ConnectionHello(
         InstanceId(name), Incarnation(1), DataCentreId("gent"), Endpoint("127.0.0.1", 0)
     )
     tls = TlsContexts(TlsSettings(off=True), log.append)
-    settings = TransportSettings(redial_seconds=0.02)
     network = PeerNetwork(
         settings, hello, tls, receive, log.append, resolve=resolve, on_connected=on_connected
     )
@@ -303,6 +312,43 @@
     run(scenario)
 
 
+def test_a_peer_that_gets_power_during_an_attempt_to_connect_is_reached_by_a_later_one():
+    """Pattern: power lost everywhere; a peer has power again a little later than this process.
+
+    It never answers the attempt that began before, whose timeout delayed the connection.
+    """
+    log: list[object] = []
+
+    async def scenario(nursery):
+        with socket.socket() as listener:
+            listener.bind(("127.0.0.1", 0))
+            listener.listen(0)
+            endpoint = Endpoint(*listener.getsockname())
+            blockers = [socket.socket() for _ in range(3)]
+            for blocker in blockers:
+                blocker.setblocking(False)
+                blocker.connect_ex((endpoint.host, endpoint.port))
+            settings = TransportSettings(
+                dial_seconds=10.0, first_dial_seconds=0.05, redial_seconds=0.02
+            )
+            dialler = await start_dialler(
+                nursery, "b", lambda *_: None, log, lambda _: endpoint, lambda _: None, settings
+            )
+            dialler.maintain_connection(InstanceId("server"))
+            await trio.sleep(0.2)
+            listener.setblocking(False)
+            with trio.fail_after(3.0):
+                while not dialler.is_connected(InstanceId("server")):
+                    with contextlib.suppress(BlockingIOError):
+                        blockers.append(listener.accept()[0])
+                    await trio.sleep(0.01)
+            assert dialler.links[InstanceId("server")].dial_attempts == 0
+            for blocker in blockers:
+                blocker.close()
+
+    run(scenario)
+
+
 def test_a_reconnecting_dialler_replaces_its_previous_connection():
     log: list[object] = []
     received: list[object] = []
