Read feed messages of earlier builds, and be read by them: tests

Cause: the feed's messages got further fields, and a rolling upgrade has both builds for a while.

Change: tests with the arrays that earlier builds send, and with what they read.

--- a/chicorypost/announcements/tests/test_reconnection.py
+++ b/chicorypost/announcements/tests/test_reconnection.py
@@ -2,6 +2,8 @@
 
 from itertools import count
 
+import msgpack
+import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -12,9 +14,11 @@
     PeerDisconnected,
     Subscribe,
 )
+from chicorypost.announcements._messages import DocumentRequest
 from chicorypost.announcements.tests.network import SETTINGS, Network
 from chicorypost.announcements.tests.test_table import announce
-from chicorypost.base import InstanceId, Received, Send, UpstreamId, encode
+from chicorypost.base import InstanceId, Received, Record, Send, UpstreamId, Version, decode, encode
+from chicorypost.base._message import WIRE_VERSION
 
 C1 = InstanceId("c1")
 UPSTREAMS = 150
@@ -164,6 +168,28 @@
     assert network.view.feeds[C1].is_current
 
 
+def test_messages_of_earlier_builds_are_read():
+    """Earlier builds send shorter arrays; a rolling upgrade has both for a while."""
+    frames = {
+        Subscribe(5, 7): [810, 5, 7],
+        FeedPage(5, 7, False, True, (), (), Version(3)): [811, 5, 7, False, True, [], [], 3],
+        DocumentRequest(): [812],
+    }
+    for message, body in frames.items():
+        assert decode(msgpack.packb([WIRE_VERSION, body])) == message
+
+
+def test_earlier_builds_can_read_the_new_messages():
+    """They ignore what follows the fields that they know."""
+
+    class EarlierSubscribe(Record, frozen=True, array_like=True, tag=810):
+        feed_id: int
+        position: int
+
+    _, body = msgpack.unpackb(encode(Subscribe(5, 7, True)))
+    assert msgspec.convert(body, EarlierSubscribe) == EarlierSubscribe(5, 7)
+
+
 STEPS = st.lists(
     st.tuples(
         st.sampled_from(["call", "drain", "cut", "join", "lose", "connect", "restart", "wait"]),
