--- a/benchmarks/demo.py
+++ b/benchmarks/demo.py
@@ -4,11 +4,13 @@
 """
 
 import argparse
+import faulthandler
 import json
 import random
 import signal
 import sys
 import tempfile
+import time
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -24,6 +26,10 @@
 from chicorypost.transport import ExchangeRequest, exchange_once
 
 RUN_LIMIT_SECONDS = 44.0
+STUCK_SECONDS = 60.0
+"""Time after which the stacks of all threads are printed; the run limit ends a run before that
+unless the event loop itself is stuck."""
+CLOCK_TOLERANCE_SECONDS = 1.0
 DRAIN_LIMIT_SECONDS = 3.0
 IN_FORCE_LIMIT_SECONDS = 5.0
 FLOWS_PER_SERVICE = 40
@@ -142,10 +148,15 @@
         """Record the next step and print it with the elapsed time."""
         self.report.steps.append(text)
         self.console.print(f"[{trio.current_time() - self.started_at:5.1f} s] {text}")
+        pause = describe_pause(
+            time.time() - self.started_at_wall, trio.current_time() - self.started_at
+        )
+        if pause:
+            self.console.print(pause)
 
     async def run(self) -> None:
         """Run all steps."""
-        self.started_at = trio.current_time()
+        self.started_at, self.started_at_wall = trio.current_time(), time.time()
         cluster = self.cluster
         cluster.plan_instances()
         self.log_step(
@@ -348,6 +359,17 @@
             self.report.upstreams += await self.cluster.fetch_json(endpoint, "/truth")
 
 
+def describe_pause(wall_seconds: float, steady_seconds: float) -> str:
+    """Return by how much the time of day has run ahead of the steady clock, or an empty string.
+
+    The steady clock stands still while the machine is suspended, and time limits with it.
+    """
+    pause_seconds = wall_seconds - steady_seconds
+    if abs(pause_seconds) < CLOCK_TOLERANCE_SECONDS:
+        return ""
+    return f"the machine was suspended, or its time set, for {pause_seconds:.1f} s since the start"
+
+
 def print_report(report: DemoReport) -> None:
     """Print the table, the broken guarantees and one JSON line."""
     figures = report.to_json()
@@ -391,6 +413,7 @@
     parser.add_argument("--keep", type=Path, help="folder for settings and logs, kept afterwards")
     parser.add_argument("--tls", action="store_true", help="mutual TLS with keys for this run")
     options = parser.parse_args()
+    faulthandler.dump_traceback_later(STUCK_SECONDS)
     shape = scale_down(DEPLOYMENTS[options.deployment], options.balancers, options.data_centres)
     with tempfile.TemporaryDirectory() as temporary:
         folder = options.keep or Path(temporary)
