Keep the module statistics out of a balancer's start

Change: a median of three lines, and statistics in the list of modules that mustn't be imported before forwarding; the test failed before. Names and doc strings after a reading.

--- a/chicorypost/announcements/_view.py
+++ b/chicorypost/announcements/_view.py
@@ -40,9 +40,7 @@
 trips between data centres. Doubles with each request in a row that gets no reply, since a reply may
 take longer than this on a thin link, and more replies would take the link from it."""
 MAX_DOCUMENT_TIMEOUT_SECONDS = 3.2
-
-
-FAR_PAST = Instant(float("-inf"))
+NEVER = Instant(float("-inf"))
 
 
 class VisibleUpstream(msgspec.Struct, frozen=True):
@@ -85,7 +83,7 @@
     is_connected: bool = True
     is_current: bool = False
     """Whether a page has come on the present connection, so that no change is missing."""
-    page_deadline: Instant = FAR_PAST
+    page_deadline: Instant = NEVER
     """Time at which the full table is requested unless the first page has come."""
     feed_id: int = 0
     position: int = 0
--- a/chicorypost/cookies/_response_times.py
+++ b/chicorypost/cookies/_response_times.py
@@ -1,7 +1,6 @@
 """Response times of upstreams as one balancer sees them, and the slowness derived from them."""
 
-from collections.abc import Iterable
-from statistics import median
+from collections.abc import Iterable, Sequence
 
 import msgspec
 
@@ -29,15 +28,21 @@
     """Compares the response times of the upstreams of each service.
 
     The estimate for an upstream is its mean response time, or the age of its oldest request in
-    progress if that is longer, so that an upstream that has stopped to respond is noticed before
-    its requests time out. The slowness is the estimate over the median of the means of the service,
-    beyond the factor that counts as usual; it takes the place of 1 in the choice of an upstream.
+    progress if that is longer, so that an upstream that has stopped responding is noticed before
+    its requests time out. The usual response time of a service is the median of the means of its
+    upstreams. The slowness of an upstream is its estimate divided by `usual_slowness` times the
+    usual response time; an upstream is slow if that is above 1.
+
+    Parameters
+    ----------
+    settings : CookieSettings
+        Weights and limits.
 
     Notes
     -----
-    Peak EWMA, as described for Finagle's load balancers, takes the latest response if it is longer
-    than the mean. A balancer among hundreds gets a few responses a minute from an upstream, and
-    single long ones say little about it; the age of a request in progress serves instead.
+    Peak EWMA, the measure of the load balancers of Finagle, takes the latest response if it is
+    longer than the mean. A balancer among hundreds gets a few responses a minute from an upstream,
+    and a single long one says little about it; the age of a request in progress serves instead.
     """
 
     def __init__(self, settings: CookieSettings) -> None:
@@ -87,7 +92,7 @@
             means = [entry.mean_seconds for entry in known.values() if self._is_recent(entry, now)]
             if len(means) < MIN_COMPARED_UPSTREAMS:
                 continue
-            usual_seconds = max(median(means), self.settings.min_usual_seconds)
+            usual_seconds = max(_median(means), self.settings.min_usual_seconds)
             for name, entry in known.items():
                 factor = self._estimate_seconds(entry, now) / usual_seconds
                 slowness = min(factor / self.settings.usual_slowness, self.settings.max_slowness)
@@ -104,3 +109,10 @@
         # An older request counts no more: its response may have passed another balancer.
         ages = (now - started_at for started_at in entry.running.values())
         return max(mean_seconds, next((age for age in ages if age < limit), 0.0))
+
+
+def _median(values: Sequence[float]) -> float:
+    # The module statistics takes long to import, and balancers forward only after this module.
+    ordered = sorted(values)
+    middle = len(ordered) // 2
+    return ordered[middle] if len(ordered) % 2 else (ordered[middle - 1] + ordered[middle]) / 2
--- a/chicorypost/cookies/tests/test_response_times.py
+++ b/chicorypost/cookies/tests/test_response_times.py
@@ -46,7 +46,7 @@
     assert compare(times) == {}
 
 
-def test_an_upstream_that_stops_to_respond_is_slow_before_its_request_times_out(times):
+def test_an_upstream_that_stops_responding_is_slow_before_its_request_times_out(times):
     times.start_request(FlowKey(b"hung"), NAMES[0], START)
     assert compare(times, Instant(START + USUAL_SECONDS)) == {}
     assert list(compare(times, Instant(START + 10 * USUAL_SECONDS))) == [NAMES[0]]
--- a/chicorypost/roles/tests/test_imports.py
+++ b/chicorypost/roles/tests/test_imports.py
@@ -34,6 +34,7 @@
     "pathlib",
     "pythonjsonlogger",
     "ssl",
+    "statistics",
     "subprocess",
     "trio",
 }
--- a/tests/test_load_model.py
+++ b/tests/test_load_model.py
@@ -48,7 +48,7 @@
     assert aware["p99_ms"] < 0.75 * unaware["p99_ms"]
 
 
-def test_fewer_requests_fail_at_upstreams_that_stop_to_respond():
+def test_fewer_requests_fail_at_upstreams_that_stop_responding():
     """Pattern: a seventh of the upstreams don't respond to requests for 6 s."""
     aware = measure("hang", "product", 2 * SEEDS)
     unaware = measure("hang", "product", 2 * SEEDS, cookie_settings=COUNTS_ONLY)
