Take back the heartbeats without entries

A member whose replies come later than the next heartbeat (a slow disk, a long way) then never got further entries.

--- a/chicorypost/consensus/_replication.py
+++ b/chicorypost/consensus/_replication.py
@@ -72,23 +72,16 @@
 
 
 def send_heartbeats(core: ReplicaCore) -> None:
-    """Send to every member: what it lacks, or a probe if its last request is unanswered.
-
-    A probe carries neither entries nor snapshot data. The reply to it shows that the member reads
-    again, and what it lacks by then; a request that was lost is repeated after that reply.
-    """
+    """Send to every member; a request still in flight counts as lost and is repeated."""
     leadership = core.leadership
     assert leadership is not None
     leadership.heartbeat_deadline = next_heartbeat_deadline(core)
     for progress in leadership.progress.values():
-        send_append(core, progress, is_probe=progress.awaited_sequence != 0)
-
+        send_append(core, progress)
 
-def send_append(core: ReplicaCore, progress: ReplicationProgress, is_probe: bool = False) -> None:
-    """Send the entries that a member lacks, or a snapshot chunk if they are compacted.
 
-    A probe is the same request without the entries or the data.
-    """
+def send_append(core: ReplicaCore, progress: ReplicationProgress) -> None:
+    """Send the entries that a member lacks, or a snapshot chunk if they are compacted."""
     leadership = core.leadership
     assert leadership is not None
     leadership.last_sequence += 1
@@ -96,12 +89,9 @@
     previous_index = LogIndex(progress.next_index - 1)
     previous_term = core.log.term_at(previous_index)
     if previous_term is None:
-        max_bytes = 0 if is_probe else core.settings.snapshot_chunk_bytes
-        send_snapshot_chunk(core, progress, leadership.last_sequence, max_bytes)
+        send_snapshot_chunk(core, progress, leadership.last_sequence)
         return
-    entries: tuple[Entry, ...] = ()
-    if not is_probe:
-        entries = core.log.read_from(progress.next_index, core.settings.max_append_bytes)
+    entries = core.log.read_from(progress.next_index, core.settings.max_append_bytes)
     progress.sent_commit_index = core.commit_index
     message = AppendRequest(
         *core.make_header(progress.member.generation),
--- a/chicorypost/consensus/_snapshots.py
+++ b/chicorypost/consensus/_snapshots.py
@@ -36,13 +36,11 @@
     core.effects.append(_events.SNAPSHOT_STORED.emit(index=taken.index, bytes=size))
 
 
-def send_snapshot_chunk(
-    core: ReplicaCore, progress: ReplicationProgress, sequence: int, max_bytes: int
-) -> None:
-    """Send up to `max_bytes` of the newest snapshot to a member that lacks compacted entries."""
+def send_snapshot_chunk(core: ReplicaCore, progress: ReplicationProgress, sequence: int) -> None:
+    """Send the next chunk of the newest snapshot to a member that lacks compacted entries."""
     snapshot = core.base_snapshot()
     offset = min(progress.snapshot_offset, len(snapshot.data))
-    data = snapshot.data[offset : offset + max_bytes]
+    data = snapshot.data[offset : offset + core.settings.snapshot_chunk_bytes]
     message = SnapshotChunk(
         *core.make_header(progress.member.generation),
         sequence,
--- a/chicorypost/consensus/tests/test_slow_members.py
+++ b/chicorypost/consensus/tests/test_slow_members.py
@@ -61,3 +61,30 @@
     cluster.in_flight = [item for item in cluster.in_flight if item[1] != cut.instance]
     cluster.run(2 * cluster.settings.heartbeat_seconds)
     assert cut.replica.core.log.last_index == leader.replica.core.log.last_index
+
+
+def test_a_member_that_replies_later_than_the_next_heartbeat_receives_all_entries():
+    """Pattern: members with slow disks or far away; each reply comes after the next heartbeat.
+
+    If the awaited request was always the latest heartbeat, no reply would ever allow more entries.
+    """
+    cluster = Cluster(3)
+    leader = cluster.wait_for_leader()
+    cluster.run(1.0)
+    slow = [node for node in cluster.nodes.values() if node is not leader]
+    steps_per_reply = round(1.5 * cluster.settings.heartbeat_seconds / 0.05)
+    delayed: list[tuple[int, object]] = []
+    for step in range(300):
+        if step < 20:
+            cluster.propose(leader, f"p{step}")
+        cluster.now += 0.05
+        cluster.tick_if_due(leader)
+        for item in [item for item in cluster.in_flight if item[0] != leader.instance]:
+            cluster.in_flight.remove(item)
+            delayed.append((step + steps_per_reply, item))
+        while delayed and delayed[0][0] <= step:
+            cluster.in_flight.append(delayed.pop(0)[1])
+        cluster.deliver_all(limit=len(cluster.in_flight))
+    last_index = leader.replica.core.log.last_index
+    assert [node.replica.core.log.last_index for node in slow] == [last_index] * 2
+    assert leader.replica.commit_index == last_index
