--- a/chicorypost/consensus/tests/test_slow_members.py
+++ b/chicorypost/consensus/tests/test_slow_members.py
@@ -1,6 +1,6 @@
 """What a leader sends to a member that doesn't answer, such as one that is frozen or cut off."""
 
-from chicorypost.base import encode
+from chicorypost.base import Instant, encode
 from chicorypost.consensus.tests.fakes import Cluster
 
 DOCUMENT_BYTES = 12_000
@@ -77,7 +77,7 @@
     for step in range(300):
         if step < 20:
             cluster.propose(leader, f"p{step}")
-        cluster.now += 0.05
+        cluster.now = Instant(cluster.now + 0.05)
         cluster.tick_if_due(leader)
         for item in [item for item in cluster.in_flight if item[0] != leader.instance]:
             cluster.in_flight.remove(item)
