--- a/review/standins.py
+++ b/review/standins.py
@@ -10,7 +10,6 @@
 import os
 import random
 import shutil
-import signal
 import socket
 import struct
 import subprocess
@@ -18,7 +17,7 @@
 import tempfile
 import time
 import tomllib
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -139,10 +138,14 @@
                 words, cwd=ROOT, env=environment, stdout=log, stderr=log, stdin=subprocess.DEVNULL
             )
 
+    def send_signal(self, number: int) -> None:
+        """Send a signal to the process."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
     def kill(self) -> None:
         """Kill the process and wait for its end."""
         if self.process is not None and self.process.poll() is None:
-            self.process.send_signal(signal.SIGCONT)
             self.process.kill()
             self.process.wait()
 
@@ -303,12 +306,180 @@
         return 0
 
 
+class Link:
+    """The link between one backend and the machines of the system, which can be cut.
+
+    While it is cut, no byte passes and no connection opens. What was written to an open connection
+    arrives after the cut, also if its sender has closed it meanwhile, when TCP sends it again: 0.2,
+    0.6, 1.4, 3, 6.2, 12.6 seconds after the first time.
+    """
+
+    def __init__(self, deployment: Deployment, record: Record) -> None:
+        self.deployment = deployment
+        self.record = record
+        self.is_cut = False
+        self.healed = asyncio.Event()
+        self.servers: list[asyncio.Server] = []
+        self.relays: set[asyncio.Task[None]] = set()
+
+    def host(self, number: int) -> str:
+        """Return the address at which the backend reaches a control instance."""
+        return self.deployment.address(6, number)
+
+    async def start(self) -> None:
+        """Listen in place of the control instances."""
+        for number in range(len(self.deployment.controls)):
+
+            async def relay(
+                reader: asyncio.StreamReader, writer: asyncio.StreamWriter, number: int = number
+            ) -> None:
+                task = asyncio.ensure_future(self._relay(number, reader, writer))
+                self.relays.add(task)
+                task.add_done_callback(self.relays.discard)
+
+            server = await asyncio.start_server(relay, self.host(number), CONTROL_PORT)
+            self.servers.append(server)
+
+    async def stop(self) -> None:
+        """Stop listening and relaying."""
+        for server in self.servers:
+            server.close()
+        relays = list(self.relays)
+        for task in relays:
+            task.cancel()
+        await asyncio.gather(*relays, return_exceptions=True)
+
+    def cut(self) -> None:
+        """Cut the link."""
+        self.is_cut = True
+        self.healed.clear()
+        self.record.write("the link of the backend is cut")
+
+    def heal(self) -> None:
+        """Join the link."""
+        self.is_cut = False
+        self.healed.set()
+        self.record.write("the link of the backend is whole again")
+
+    async def _relay(
+        self, number: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        inner_writer = None
+        try:
+            early_data = await self._wait_until_open(reader)
+            if early_data is None:
+                return
+            inner_reader, inner_writer = await asyncio.open_connection(
+                self.deployment.address(1, number), CONTROL_PORT
+            )
+            await asyncio.gather(self._copy(reader, inner_writer), self._copy(inner_reader, writer))
+        except OSError:
+            return
+        finally:
+            writer.close()
+            if inner_writer is not None:
+                inner_writer.close()
+
+    async def _wait_until_open(self, reader: asyncio.StreamReader) -> bytes | None:
+        """Wait for the end of a cut; return what was written, or None if the sender has given up.
+
+        A connection that is closed before it is open sends nothing.
+        """
+        early_data = b""
+        while self.is_cut:
+            try:
+                async with asyncio.timeout(0.02):
+                    data = await reader.read(65536)
+            except TimeoutError:
+                continue
+            if not data:
+                return None
+            early_data += data
+        return early_data
+
+    async def _copy(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while data := await reader.read(65536):
+            if self.is_cut:
+                sent_at = time.monotonic()
+                await self.healed.wait()
+                pause = 0.2
+                resent_at = sent_at + pause
+                while resent_at < time.monotonic():
+                    pause *= 2
+                    resent_at += pause
+                await asyncio.sleep(resent_at - time.monotonic())
+                waited = time.monotonic() - sent_at
+                self.record.write(f"arrives after {waited:.1f} s: {data[:60]!r}")
+            writer.write(data)
+            await writer.drain()
+        if writer.can_write_eof():
+            writer.write_eof()
+
+
+class Caller:
+    """Calls control instances over one connection, and over another one after a failure."""
+
+    def __init__(self, deployment: Deployment, link: Link | None) -> None:
+        self.deployment = deployment
+        self.link = link
+        self.number = random.randrange(3)
+        self.lock = asyncio.Lock()
+        self.streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+
+    def close(self) -> None:
+        """Close the connection; what was written to it is still sent."""
+        if self.streams is not None:
+            self.streams[1].close()
+            self.streams = None
+
+    async def call(self, method: str, path: str, body: bytes) -> int:
+        """Make one call; return its status, or 0 without a response within a second."""
+        async with self.lock:
+            status = await self._call(method, path, body)
+            if status // 100 != 2:
+                self.close()
+                self.number = (self.number + 1) % 3
+            return status
+
+    async def _call(self, method: str, path: str, body: bytes) -> int:
+        try:
+            async with asyncio.timeout(CALL_SECONDS):
+                if self.streams is None:
+                    host = self.deployment.address(1, self.number)
+                    if self.link is not None:
+                        host = self.link.host(self.number)
+                    self.streams = await asyncio.open_connection(host, CONTROL_PORT)
+                reader, writer = self.streams
+                head = (
+                    f"{method} {path} HTTP/1.1\r\nhost: control\r\n"
+                    f"content-type: application/json\r\ncontent-length: {len(body)}\r\n\r\n"
+                )
+                writer.write(head.encode() + body)
+                await writer.drain()
+                status = int((await reader.readline()).split()[1])
+                length = 0
+                while line := (await reader.readline()).strip():
+                    name, _, value = line.decode("latin-1").partition(":")
+                    length = int(value) if name.lower() == "content-length" else length
+                await reader.readexactly(length)
+                return status
+        except (OSError, TimeoutError, asyncio.IncompleteReadError, IndexError, ValueError):
+            return 0
+
+
 @dataclass
 class Flow:
-    """A flow at a backend: its first sequence number and the response to its request."""
+    """A flow at a backend.
+
+    `first` is the backend's first sequence number, `sent` counts the bytes that it has sent, and
+    `expected` is the sequence number of the client's next request. `last` is the latest response,
+    with its sequence number, for copies of its request.
+    """
 
     first: int
-    response: bytes = b""
+    expected: int
+    sent: int = 0
+    last: tuple[int, int, bytes] | None = None
 
 
 class Backend:
@@ -321,7 +492,9 @@
     service : str
         The service that it belongs to.
     on_run : callable
-        Called with the backend and the target port when it begins to work on a request.
+        Called with the backend, the target port and the request when it begins to work on one.
+    link : Link, optional
+        The link between this backend and the machines of the system; without it, a direct one.
     """
 
     def __init__(
@@ -331,8 +504,11 @@
         service: str,
         number: int,
         on_run: Callable[["Backend", int, str], None],
+        link: Link | None = None,
     ) -> None:
         self.deployment = deployment
+        self.link = link
+        self.caller = Caller(deployment, link)
         self.name = name
         self.service = service
         self.zone = ZONES[number % len(ZONES)]
@@ -342,6 +518,9 @@
         self.born = time.time_ns() // 1_000_000
         self.sequence = 0
         self.state = "ready"
+        self.is_leaving = False
+        """Whether it makes no heartbeats any more."""
+        self.is_announcing = False
         self.flows: dict[bytes, Flow] = {}
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.socket.bind((self.host, BACKEND_PORT))
@@ -364,12 +543,19 @@
 
     async def announce(self) -> int:
         """Announce to one control instance after the other until one acknowledges."""
-        for number in random.sample(range(len(self.deployment.controls)), 3):
-            body = json.dumps(self.heartbeat()).encode()
-            path = f"/-/Backends.Heartbeat/{self.name}"
-            answer = await self.deployment.call_control(number, "POST", path, body)
-            if answer is not None and answer[0] // 100 == 2:
-                return answer[0]
+        path = f"/-/Backends.Heartbeat/{self.name}"
+        for _ in range(3):
+            status = await self.caller.call("POST", path, json.dumps(self.heartbeat()).encode())
+            if status // 100 == 2:
+                return status
+        return 0
+
+    async def leave(self) -> int:
+        """Send the leave call, which has no body, to one control instance after the other."""
+        for _ in range(3):
+            status = await self.caller.call("POST", f"/-/Backends.Leave/{self.name}", b"")
+            if status // 100 == 2:
+                return status
         return 0
 
     async def run(self) -> None:
@@ -378,17 +564,23 @@
         loop.add_reader(self.socket, self._receive)
         try:
             while True:
-                await self.announce()
+                if not self.is_leaving:
+                    self.is_announcing = True
+                    await self.announce()
+                    self.is_announcing = False
                 await asyncio.sleep(HEARTBEAT_SECONDS)
         finally:
             loop.remove_reader(self.socket)
             self.socket.close()
+            self.caller.close()
 
     def _receive(self) -> None:
         try:
             datagram = self.socket.recv(4096)
         except OSError:
             return
+        if self.link is not None and self.link.is_cut:
+            return
         if int.from_bytes(datagram[:8], "big") not in (0, self.token):
             return
         self._handle(datagram[8:])
@@ -400,23 +592,34 @@
         flow = self.flows.get(key)
         if flags & SYN:
             if flow is None:
-                flow = self.flows[key] = Flow(random.randrange(1, 2**30))
+                flow = self.flows[key] = Flow(random.randrange(1, 2**30), sequence + 1)
             self._send(data, SYN | ACK, flow.first, sequence + 1)
-        elif flow is None or not flow.first < acknowledged <= flow.first + 1 + len(flow.response):
+        elif flow is None or not flow.first < acknowledged <= flow.first + 1 + flow.sent:
             if not flags & RST:
                 self._send(data, RST, acknowledged, 0)
         elif flags & (FIN | RST):
             del self.flows[key]
             if flags & FIN:
                 self._send(data, ACK | FIN, acknowledged, sequence + 1)
-        elif payload and acknowledged == flow.first + 1:
-            if not flow.response:
-                request = payload.partition(b"X-Request-Id: ")[2].partition(b"\r\n")[0].decode()
-                self.on_run(self, target_port, request)
-                body = f"{request} {self.service}".encode()
-                head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body)
-                flow.response = head + body
-            self._send(data, ACK, acknowledged, sequence + len(payload), flow.response)
+        elif payload and sequence == flow.expected:
+            request = payload.partition(b"X-Request-Id: ")[2].partition(b"\r\n")[0].decode()
+            self.on_run(self, target_port, request)
+            body = f"{request} {self.service} {self.name} {self.born}".encode()
+            response = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s" % (len(body), body)
+            flow.expected += len(payload)
+            flow.last = (sequence, flow.first + 1 + flow.sent, response)
+            flow.sent += len(response)
+            self._respond(data, flow, key)
+        elif payload and flow.last is not None and sequence == flow.last[0]:
+            self._respond(data, flow, key)
+
+    def _respond(self, data: bytes, flow: Flow, key: bytes) -> None:
+        assert flow.last is not None
+        _, own_sequence, response = flow.last
+        flags = ACK | FIN if self.state == "draining" else ACK
+        self._send(data, flags, own_sequence, flow.expected, response)
+        if flags & FIN:
+            del self.flows[key]
 
     def _send(
         self, data: bytes, flags: int, sequence: int, acknowledged: int, payload: bytes = b""
@@ -471,57 +674,92 @@
 
     async def request(self, target: tuple[str, int]) -> tuple[str, str]:
         """Send one request over a flow of its own; return its id and the outcome."""
+        outcomes = [item async for item in self.run_flow(target, 1, 0.0)]
+        return outcomes[-1][0], outcomes[-1][1]
+
+    async def run_flow(
+        self, target: tuple[str, int], requests: int, pause: float
+    ) -> AsyncIterator[tuple[str, str, str]]:
+        """Open a flow and send requests over it, until it ends.
+
+        Yields
+        ------
+        tuple of str, str and str
+            Id, outcome and response body of each request.
+        """
         port = self.next_port = self.next_port + 1
-        inbox = self.inboxes[port] = asyncio.Queue()
-        name = f"{random.getrandbits(64):016x}"
+        inbox: asyncio.Queue[bytes] = asyncio.Queue()
+        self.inboxes[port] = inbox
+        start = random.randrange(1, 2**30)
         try:
-            return name, await self._exchange(target, port, inbox, name)
+            opened = await self._open(target, port, inbox, start)
+            if isinstance(opened, str):
+                yield "", opened, ""
+                return
+            acknowledged, echo = opened
+            sequence = start + 1
+            self._send(target, port, ACK, sequence, acknowledged, echo)
+            for _ in range(requests):
+                name = f"{random.getrandbits(64):016x}"
+                data = f"POST / HTTP/1.1\r\nhost: x\r\nX-Request-Id: {name}\r\n\r\n".encode()
+                answer = None
+                for wait in DATA_WAITS:
+                    self._send(target, port, ACK, sequence, acknowledged, echo, data)
+                    answer = await self._wait_for_answer(inbox, wait, acknowledged)
+                    if answer is not None:
+                        break
+                if answer is None:
+                    yield name, "no answer", ""
+                    return
+                head = HEADER.unpack_from(answer)
+                if head[4] & RST:
+                    yield name, "reset by the system" if head[0] == 0 else "reset", ""
+                    return
+                sequence += len(data)
+                acknowledged += head[1]
+                echo = head[10] or echo
+                self._send(target, port, ACK, sequence, acknowledged, echo)
+                yield name, "answered", answer[HEADER.size :].partition(b"\r\n\r\n")[2].decode()
+                if head[4] & FIN:
+                    return
+                await asyncio.sleep(pause)
+            self._send(target, port, ACK | FIN, sequence, acknowledged, echo)
         finally:
             del self.inboxes[port]
 
-    async def _exchange(
-        self, target: tuple[str, int], port: int, inbox: "asyncio.Queue[bytes]", name: str
-    ) -> str:
-        start = random.randrange(1, 2**30)
-        opened: tuple[int, int] | None = None
+    async def _open(
+        self, target: tuple[str, int], port: int, inbox: "asyncio.Queue[bytes]", start: int
+    ) -> tuple[int, int] | str:
+        """Return the next sequence number of the backend and its echo, or why that failed."""
         for copies, pause in enumerate(OPENING_WAITS):
             self._send(target, port, SYN, start, copies, 0)
-            answer = await self._wait_for(inbox, pause, lambda flags, _: bool(flags & (SYN | RST)))
+            answer = await self._wait_for(inbox, pause, lambda head: bool(head[4] & (SYN | RST)))
             if answer is not None:
-                if answer[4] & RST:
-                    return "reset while opening"
-                opened = (answer[2] + 1, answer[10])
-                break
-        if opened is None:
-            return "not opened"
-        acknowledged, echo = opened
-        self._send(target, port, ACK, start + 1, acknowledged, echo)
-        data = f"POST / HTTP/1.1\r\nhost: x\r\nX-Request-Id: {name}\r\n\r\n".encode()
-        for pause in DATA_WAITS:
-            self._send(target, port, ACK, start + 1, acknowledged, echo, data)
-            answer = await self._wait_for(
-                inbox, pause, lambda flags, length: bool(flags & RST) or length > 0
-            )
-            if answer is not None:
-                if answer[4] & RST:
-                    return "reset"
-                end = acknowledged + answer[1]
-                self._send(target, port, ACK | FIN, start + 1 + len(data), end, echo)
-                return "answered"
-        return "no answer"
+                head = HEADER.unpack_from(answer)
+                return "reset while opening" if head[4] & RST else (head[2] + 1, head[10])
+        return "not opened"
+
+    async def _wait_for_answer(
+        self, inbox: "asyncio.Queue[bytes]", seconds: float, acknowledged: int
+    ) -> bytes | None:
+        return await self._wait_for(
+            inbox,
+            seconds,
+            lambda head: bool(head[4] & RST) or (head[1] > 0 and head[2] == acknowledged),
+        )
 
     async def _wait_for(
         self,
         inbox: "asyncio.Queue[bytes]",
         seconds: float,
-        is_wanted: Callable[[int, int], bool],
-    ) -> tuple[int, ...] | None:
+        is_wanted: Callable[[tuple[int, ...]], bool],
+    ) -> bytes | None:
         try:
             async with asyncio.timeout(seconds):
                 while True:
-                    fields: tuple[int, ...] = HEADER.unpack_from(await inbox.get())
-                    if is_wanted(fields[4], fields[1]):
-                        return fields
+                    packet = await inbox.get()
+                    if is_wanted(HEADER.unpack_from(packet)):
+                        return packet
         except TimeoutError:
             return None
 
