--- a/review/standins.py
+++ b/review/standins.py
@@ -28,6 +28,7 @@
 PACKET_PORT = 8172
 READY_PORT = 8167
 BACKEND_PORT = 8347
+ADMIN_PORT = 9102
 CALL_SECONDS = 1.0
 ZONES = ("a", "b", "c")
 HEARTBEAT_SECONDS = 0.5
@@ -64,19 +65,26 @@
     return int.from_bytes(socket.inet_aton(host), "big")
 
 
-def pick_network() -> int:
-    """Return a second octet of loopback addresses at which the needed ports are free."""
+def reserve_network() -> tuple[int, socket.socket]:
+    """Return a second octet of loopback addresses at which the needed ports are free.
+
+    The socket reserves the addresses against other runs until it is closed.
+    """
     numbers = list(range(20, 250))
-    random.Random(os.getpid()).shuffle(numbers)
+    random.shuffle(numbers)
+    hosts = [f"{kind}.{index}" for kind in (1, 3, 4) for index in range(1, 6)]
     for number in numbers:
+        reservation = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
-            for last in (f"{kind}.{index}" for kind in (1, 3, 4) for index in (1, 2, 3, 4, 5)):
-                for port in (CONTROL_PORT, PEER_PORT, READY_PORT, 9102):
+            reservation.bind((f"127.{number}.0.1", CONTROL_PORT))
+            for host in hosts:
+                for port in (CONTROL_PORT, PEER_PORT, READY_PORT, ADMIN_PORT):
                     with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
-                        probe.bind((f"127.{number}.{last}", port))
+                        probe.bind((f"127.{number}.{host}", port))
         except OSError:
+            reservation.close()
             continue
-        return number
+        return number, reservation
     raise RuntimeError("no free loopback addresses")
 
 
@@ -157,13 +165,15 @@
         if not (ROOT / "target" / "deps").is_dir():
             raise RuntimeError("target/deps is missing: run the build of the deploy file first")
         self.record = record
-        self.network = pick_network()
+        self.network, self.reservation = reserve_network()
         self.folder = Path(tempfile.mkdtemp(prefix="chicorypost-review-"))
         self.seeds = [f"{self.address(1, n)}:{CONTROL_PORT}" for n in range(min(3, controls))]
         self.controls = [self.make_control(number, True) for number in range(controls)]
         self.balancers = [self.make_balancer(number) for number in range(balancers)]
         self.misses = dict.fromkeys(range(balancers), 2)
         self.router = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.openings: dict[tuple[bytes, int], tuple[float, int]] = {}
+        """When a client sent each copy of an opening, by flow and copy, and the balancer."""
 
     def address(self, kind: int, number: int) -> str:
         """Return the address of a machine, client or backend."""
@@ -239,6 +249,7 @@
         for node in (*self.controls, *self.balancers):
             node.kill()
         self.router.close()
+        self.reservation.close()
         if not os.environ.get("KEEP_FOLDER"):
             shutil.rmtree(self.folder, ignore_errors=True)
 
@@ -265,6 +276,9 @@
         key = data[16:28]
         ready = self.ready_balancers() or list(self.misses)
         chosen = max(ready, key=lambda number: hashlib.md5(key + bytes([number])).digest())
+        _, _, _, copies, flags, *_ = HEADER.unpack_from(data)
+        if flags & SYN:
+            self.openings[key, copies] = (time.monotonic(), chosen)
         self.router.sendto(data, (self.balancers[chosen].host, PACKET_PORT))
 
     async def call_control(
@@ -522,6 +536,10 @@
         """Whether it makes no heartbeats any more."""
         self.is_announcing = False
         self.flows: dict[bytes, Flow] = {}
+        self.on_opening: Callable[[Backend, bytes, int], None] = lambda backend, key, copies: None
+        """Called with the flow and the copy when it takes an opening packet."""
+        self.is_lost: Callable[[bytes, int], bool] = lambda key, copies: False
+        """Whether this copy of an opening is lost on the way to this backend."""
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.socket.bind((self.host, BACKEND_PORT))
         self.socket.setblocking(False)
@@ -591,7 +609,10 @@
         key = data[16:28]
         flow = self.flows.get(key)
         if flags & SYN:
+            if self.is_lost(key, acknowledged):
+                return
             if flow is None:
+                self.on_opening(self, key, acknowledged)
                 flow = self.flows[key] = Flow(random.randrange(1, 2**30), sequence + 1)
             self._send(data, SYN | ACK, flow.first, sequence + 1)
         elif flow is None or not flow.first < acknowledged <= flow.first + 1 + flow.sent:
@@ -687,7 +708,8 @@
         tuple of str, str and str
             Id, outcome and response body of each request.
         """
-        port = self.next_port = self.next_port + 1
+        port = self.next_port
+        self.next_port += 1
         inbox: asyncio.Queue[bytes] = asyncio.Queue()
         self.inboxes[port] = inbox
         start = random.randrange(1, 2**30)
