--- a/review/standins.py
+++ b/review/standins.py
@@ -80,6 +80,8 @@
             for host in hosts:
                 for port in (CONTROL_PORT, PEER_PORT, READY_PORT, ADMIN_PORT):
                     with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe:
+                        # Connections of earlier runs that have been closed are no hindrance.
+                        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
                         probe.bind((f"127.{number}.{host}", port))
         except OSError:
             reservation.close()
