--- a/chicorypost/announcements/_records.py
+++ b/chicorypost/announcements/_records.py
@@ -68,7 +68,12 @@
 
 
 class LeaveNotice(Record, frozen=True, array_like=True):
-    """Notice of an upstream that it stops; `started_at_ms` and `sequence` are None if not sent."""
+    """Notice of an upstream that it stops.
+
+    `started_at_ms` is the start of the run that leaves, or None if nothing shows which run of the
+    upstream it is: the notice may have been held up until the upstream runs again. `sequence` is
+    None if not sent.
+    """
 
     upstream: UpstreamId
     started_at_ms: int | None
@@ -98,6 +103,9 @@
     """Ignored: a leave notice of an upstream that was never announced."""
     NOT_YET_KNOWN = "not yet known"
     """Refused: a leave notice of an upstream that peers may list, but this instance doesn't yet."""
+    RUN_UNKNOWN = "run unknown"
+    """Refused: a leave notice of a run that hasn't announced itself here, or one without its run
+    while the latest run hasn't announced that it will leave."""
 
 
 class UpstreamCallReceived(Event, msgspec.Struct, frozen=True):
--- a/chicorypost/announcements/_table.py
+++ b/chicorypost/announcements/_table.py
@@ -102,13 +102,28 @@
         return [entry.announcement.upstream] if is_revived else []
 
     def record_leave(self, notice: LeaveNotice) -> tuple[AnnouncementOutcome, list[UpstreamId]]:
-        """Mark an upstream as gone after its notice."""
+        """Mark the run of an upstream as gone that its notice names.
+
+        A run that is gone stays so, and its flows are reset. A notice that doesn't name its run
+        therefore ends none: it may be a late one of an earlier run. It is acknowledged if the
+        latest run takes no new flows in any case.
+        """
         entry = self.entries.get(notice.upstream)
         if entry is None:
             return AnnouncementOutcome.UNKNOWN, []
         latest = entry.announcement
-        if notice.started_at_ms is not None and notice.started_at_ms < latest.started_at_ms:
+        if latest.status is AnnouncedStatus.GONE and notice.started_at_ms is None:
+            return AnnouncementOutcome.ACCEPTED, []
+        if notice.started_at_ms is None:
+            is_leaving = latest.status is AnnouncedStatus.DRAINING
+            outcome = (
+                AnnouncementOutcome.ACCEPTED if is_leaving else AnnouncementOutcome.RUN_UNKNOWN
+            )
+            return outcome, []
+        if notice.started_at_ms < latest.started_at_ms:
             return AnnouncementOutcome.OUTDATED, []
+        if notice.started_at_ms > latest.started_at_ms:
+            return AnnouncementOutcome.RUN_UNKNOWN, []
         if latest.status is AnnouncedStatus.GONE:
             return AnnouncementOutcome.ACCEPTED, []
         entry.announcement = _mark_gone(latest, notice)
@@ -172,11 +187,7 @@
 
 def _mark_gone(latest: Announcement, notice: LeaveNotice | None = None) -> Announcement:
     """Return the final call of an upstream, with status `GONE`."""
-    started_at_ms, sequence = latest.started_at_ms, latest.sequence
-    if notice is not None and notice.started_at_ms is not None:
-        started_at_ms = max(started_at_ms, notice.started_at_ms)
+    sequence = latest.sequence
     if notice is not None and notice.sequence is not None:
         sequence = max(sequence, notice.sequence)
-    return msgspec.structs.replace(
-        latest, started_at_ms=started_at_ms, sequence=sequence, status=AnnouncedStatus.GONE
-    )
+    return msgspec.structs.replace(latest, sequence=sequence, status=AnnouncedStatus.GONE)
--- a/chicorypost/roles/_control_calls.py
+++ b/chicorypost/roles/_control_calls.py
@@ -1,9 +1,10 @@
 """HTTP calls of operators and upstreams to a control instance."""
 
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from typing import Any
 from uuid import uuid4
 
+import msgspec
 import trio
 
 from chicorypost.announcements import (
@@ -45,6 +46,8 @@
 
 LOG_TIMEOUT_SECONDS = 0.9
 """Timeout of a proposal or read; callers try another instance after one second."""
+ANNOUNCED_RUN = "announced run"
+"""Key of the id and the start of the upstream that has announced itself on a connection last."""
 ANNOUNCEMENT_TIMEOUT_SECONDS = 0.8
 """Timeout of an announcement's replication; upstreams give up after one second."""
 
@@ -107,9 +110,9 @@
     ) -> HttpServerResponse | Awaitable[HttpServerResponse]:
         match read_call(request):
             case AnnounceCall(upstream_name):
-                return self._announce(upstream_name, read_announcement(upstream_name, request.body))
+                return self._announce(request, upstream_name, read_announcement)
             case LeaveCall(upstream_name):
-                return self._announce(upstream_name, read_leave_notice(upstream_name, request.body))
+                return self._announce(request, upstream_name, read_leave_notice)
             case SimpleCall.PUT_CONFIGURATION:
                 return self._put_configuration(request)
             case SimpleCall.GET_CONFIGURATION:
@@ -118,17 +121,31 @@
                 return make_not_found_response()
 
     def _announce(
-        self, upstream_name: str, upstream_call: Announcement | LeaveNotice | InvalidAnnouncement
+        self,
+        request: HttpServerRequest,
+        upstream_name: str,
+        read: Callable[[str, bytes], Announcement | LeaveNotice | InvalidAnnouncement],
     ) -> HttpServerResponse | Awaitable[HttpServerResponse]:
+        upstream_call = read(upstream_name, request.body)
         refusal_reason = self._find_refusal_reason(upstream_call)
         if refusal_reason is not None or isinstance(upstream_call, InvalidAnnouncement):
             reason = refusal_reason or "unreadable"
             event = UPSTREAM_CALL_REFUSED.emit(upstream=upstream_name[:60], reason=reason)
             self.event_log.emit(event)
             return make_bad_request_response(reason)
+        if isinstance(upstream_call, LeaveNotice):
+            upstream_call = _complete_leave_notice(upstream_call, request.connection_state)
+        else:
+            run = (upstream_call.upstream, upstream_call.started_at_ms)
+            request.connection_state[ANNOUNCED_RUN] = run
         call_id = uuid4().hex
         outcome = self.pending_outcomes.post(call_id, UpstreamCallReceived(call_id, upstream_call))
-        return self._wait_for_replication(call_id) if outcome is None else _make_response(outcome)
+        if outcome is None:
+            return self._wait_for_replication(call_id)
+        if outcome.outcome is AnnouncementOutcome.RUN_UNKNOWN:
+            reason = AnnouncementOutcome.RUN_UNKNOWN.value
+            self.event_log.emit(UPSTREAM_CALL_REFUSED.emit(upstream=upstream_name, reason=reason))
+        return _make_response(outcome)
 
     async def _wait_for_replication(self, call_id: str) -> HttpServerResponse:
         return _make_response(
@@ -183,10 +200,23 @@
         return make_redirect_response(leader, request)
 
 
+def _complete_leave_notice(notice: LeaveNotice, connection_state: dict[str, Any]) -> LeaveNotice:
+    """Return a notice with the run that has announced itself on the same connection.
+
+    A connection is opened by one process and so belongs to one run, however late its bytes arrive.
+    """
+    upstream, started_at_ms = connection_state.get(ANNOUNCED_RUN, (None, None))
+    if notice.started_at_ms is not None or upstream != notice.upstream:
+        return notice
+    return msgspec.structs.replace(notice, started_at_ms=started_at_ms)
+
+
 def _make_response(outcome: Any) -> HttpServerResponse:
     """Return the response to an announcement or leave notice, by the effect that completed it."""
     if not isinstance(outcome, UpstreamCallCompleted):
         return make_unavailable_response("other control instances don't answer")
     if outcome.outcome is AnnouncementOutcome.NOT_YET_KNOWN:
         return make_unavailable_response("this instance doesn't know all upstreams yet")
+    if outcome.outcome is AnnouncementOutcome.RUN_UNKNOWN:
+        return make_unavailable_response("this instance doesn't know which run is leaving")
     return make_ok_response()
--- a/chicorypost/transport/_http.py
+++ b/chicorypost/transport/_http.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server based on `h11`: handlers receive and return complete messages."""
 
 from collections.abc import Awaitable, Callable
+from typing import Any
 from urllib.parse import SplitResult, parse_qs, urlsplit
 
 import h11
@@ -17,13 +18,18 @@
 
 
 class HttpServerRequest(msgspec.Struct, frozen=True):
-    """A received HTTP request."""
+    """A received HTTP request.
+
+    `connection_state` is shared by all requests of one connection and ends with it; a handler may
+    keep there what an earlier request on the same connection has shown about its sender.
+    """
 
     method: str
     target: str
     headers: tuple[tuple[str, str], ...]
     body: bytes
     peer: str = ""
+    connection_state: dict[str, Any] = msgspec.field(default_factory=dict)
 
     def header(self, name: str) -> str | None:
         """Return the first value of a header, or None."""
@@ -183,6 +189,7 @@
         connection = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self.settings.header_bytes
         )
+        connection_state: dict[str, Any] = {}
         while True:
             request = await self._read_request(connection, stream)
             if request is None:
@@ -190,6 +197,7 @@
             if isinstance(request, _RequestRefusal):
                 await self._send_refusal(connection, stream, request)
                 return
+            request = msgspec.structs.replace(request, connection_state=connection_state)
             if not await self._handle_request(connection, stream, request):
                 return
             connection.start_next_cycle()
--- a/chicorypost/transport/tests/test_http.py
+++ b/chicorypost/transport/tests/test_http.py
@@ -52,6 +52,23 @@
     run_http_scenario(handler, run_client)
 
 
+def test_requests_of_one_connection_share_a_state_that_no_other_connection_sees():
+    def count(request):
+        request.connection_state["requests"] = request.connection_state.get("requests", 0) + 1
+        return HttpServerResponse(200, b"%d" % request.connection_state["requests"])
+
+    async def run_client(endpoint, server):
+        for _ in range(2):
+            connection = await open_http(endpoint, 1000)
+            assert isinstance(connection, HttpConnection)
+            for expected in (b"1", b"2"):
+                response = await connection.exchange(ExchangeRequest("GET", "/", ()))
+                assert isinstance(response, ExchangeResponse)
+                assert response.body == expected
+
+    run_http_scenario(count, run_client)
+
+
 @pytest.mark.parametrize(
     ("data", "status"),
     [
