Reset only flows that were seen before their upstream left

What callers could see: a reset of an open flow whose upstream is alive.

Cause: a cookie names an address, not a run. A balancer that knew one run as gone, and not yet the next one at its address, reset flows that another balancer had opened at the next run. The time of a leave was kept by upstream too, so a run that was first seen as gone inherited the time of the run before and lost its grace period.

Ruled out: a reset of openings; their copies carry no sequence that an open flow accepts.

Change: only a flow that this balancer has carried before the leave is reset; any other packet is forwarded, and an upstream that doesn't hold its flow resets it. The time of a leave ends with its run. A flow stays known after a reset, since the reset may be lost.

test_flows_of_an_upstream_that_has_left_are_reset_after_a_grace_period let the balancer reset a flow that it had never carried, which is this fault; its flow is now open before the leave, and a retransmission is checked too.

--- a/chicorypost/cookies/_router.py
+++ b/chicorypost/cookies/_router.py
@@ -87,6 +87,7 @@
         self.decision_by_cookie = self.index.decision_by_cookie
         self.forwarded_packets = 0
         self.gone_at: dict[UpstreamId, Instant] = {}
+        """When the latest run of an upstream was first seen as gone."""
         self.counters: Counter[str] = Counter()
         self.next_expiry_at = Instant(now + EXPIRY_INTERVAL_SECONDS)
         self.effects: list[Effect] = []
@@ -159,8 +160,7 @@
             reason = DropReason.UNKNOWN_UPSTREAM if packet.cookie else DropReason.NO_COOKIE
             return self._drop(reason)
         name = decision.upstream
-        if self.gone_at and self._is_grace_expired(name, now) and not packet.aborts_flow:
-            self.tracker.remove_flow(packet.flow)
+        if self.gone_at and self._is_left_behind(packet, name, now):
             return self._reset(ResetReason.UPSTREAM_GONE)
         if self.tracker.record_packet(packet, name, now) and self.suspected_upstreams.record_answer(
             name, now
@@ -209,9 +209,21 @@
             factor = round(slowness[name], 1)
             self.effects.append(UPSTREAM_SLOW.emit(upstream=name, slowness=factor))
 
-    def _is_grace_expired(self, name: UpstreamId, now: Instant) -> bool:
+    def _is_left_behind(self, packet: CookiePacket, name: UpstreamId, now: Instant) -> bool:
+        """Return whether a packet belongs to a flow whose upstream has left.
+
+        A cookie names an address and not a run: a flow that was not seen before the upstream left
+        may be open at the next upstream there, which another balancer knows already. If it isn't,
+        that upstream resets it.
+        """
         gone_at = self.gone_at.get(name)
-        return gone_at is not None and now - gone_at >= self.settings.gone_grace_seconds
+        if gone_at is None or now - gone_at < self.settings.gone_grace_seconds:
+            return False
+        state = self.tracker.flows.get(packet.flow)
+        is_of_run = (
+            state is not None and state.upstream == name and state.opening_started_at <= gone_at
+        )
+        return is_of_run and not packet.aborts_flow
 
     def _route_opening(self, packet: CookiePacket, now: Instant) -> Decision:
         if self.document is None:
@@ -297,6 +309,7 @@
         ):
             self.suspected_upstreams.remove(name)
             self.tracker.response_times.remove_upstream(name)
+            self.gone_at.pop(name, None)
         if item.announcement.status is AnnouncedStatus.GONE:
             self.gone_at.setdefault(name, now)
         else:
--- a/chicorypost/cookies/tests/test_router.py
+++ b/chicorypost/cookies/tests/test_router.py
@@ -234,10 +234,36 @@
 
 
 def test_flows_of_an_upstream_that_has_left_are_reset_after_a_grace_period(router):
-    update_upstreams(router, make_visible(NAMES[0], AnnouncedStatus.GONE), make_visible(NAMES[1]))
     packet = following(b"f", cookie_of(NAMES[0]), data=5)
+    router.route(packet, START)
+    update_upstreams(router, make_visible(NAMES[0], AnnouncedStatus.GONE), make_visible(NAMES[1]))
     assert isinstance(router.route(packet, at(0.1)), ForwardPacket)
     assert router.route(packet, at(1.0)) == ResetFlow(ResetReason.UPSTREAM_GONE)
+    # The reset may be lost, so that the client retransmits.
+    assert router.route(packet, at(1.2)) == ResetFlow(ResetReason.UPSTREAM_GONE)
+
+
+def test_a_flow_first_seen_after_its_upstream_has_left_is_forwarded(router):
+    """Another balancer knew the next run at the address and opened the flow there.
+
+    This balancer had not seen that run yet and reset its flow although the run was alive.
+    """
+    gone = make_visible(NAMES[0], AnnouncedStatus.GONE)
+    update_upstreams(router, gone, make_visible(NAMES[1]))
+    packet = following(b"f", cookie_of(NAMES[0]), data=5)
+    for seconds in (1.0, 1.2, 5.0):
+        assert isinstance(router.route(packet, at(seconds)), ForwardPacket)
+
+
+def test_the_grace_period_of_a_run_starts_when_that_run_has_left(router):
+    """The page with the next run was lost: the balancer saw one run gone and then the next."""
+    packet = following(b"f", cookie_of(NAMES[0]), data=5)
+    update_upstreams(router, make_visible(NAMES[0], AnnouncedStatus.GONE))
+    router.route(packet, at(4.0))
+    next_run = make_visible(NAMES[0], AnnouncedStatus.GONE, started_at_ms=2000)
+    update_upstreams(router, next_run, seconds=5.0)
+    assert isinstance(router.route(packet, at(5.1)), ForwardPacket)
+    assert router.route(packet, at(5.6)) == ResetFlow(ResetReason.UPSTREAM_GONE)
 
 
 def test_an_abort_is_forwarded_and_never_reset(router):
