An upstream is gone by its own word only

What callers could see: an upstream that is alive gets no flows for 120 s or for good, after one call of another upstream that names its address, or after it has got the address of one whose clock was ahead.

Cause: the table kept one upstream for each address, by start, and marked the other one as gone, which sorts behind all that its run says later.

Change: the table orders calls by upstream only. A balancer decides which of the upstreams that name an address is there: the one that started last of those that still announce themselves. A late call of an earlier one doesn't bring it back while the later one is heard.

--- a/chicorypost/announcements/_records.py
+++ b/chicorypost/announcements/_records.py
@@ -24,7 +24,7 @@
     DRAINING = "draining"
     """Finishes its open flows before it leaves."""
     GONE = "gone"
-    """Has left, or was replaced by another upstream at its address."""
+    """Has left."""
 
 
 class Announcement(Record, frozen=True, array_like=True):
@@ -98,7 +98,7 @@
     ACCEPTED = "held"
     """Stored, or already known."""
     OUTDATED = "late"
-    """Ignored: a later call, or a later upstream at the same address, is known."""
+    """Ignored: a later call is known."""
     UNKNOWN = "unknown"
     """Ignored: a leave notice of an upstream that was never announced."""
     NOT_YET_KNOWN = "not yet known"
--- a/chicorypost/announcements/_table.py
+++ b/chicorypost/announcements/_table.py
@@ -1,4 +1,4 @@
-"""The upstream table of one control instance: call ordering, addresses and silence detection."""
+"""The upstream table of one control instance: call ordering and silence detection."""
 
 from collections.abc import Iterable
 
@@ -12,7 +12,7 @@
     LeaveNotice,
     ListedUpstream,
 )
-from chicorypost.base import Endpoint, Instant, UpstreamId
+from chicorypost.base import Instant, UpstreamId
 
 MS_PER_SECOND = 1000
 
@@ -26,11 +26,14 @@
 
 
 class AnnouncementTable:
-    """Stores the latest call of each upstream and the latest upstream at each address."""
+    """Stores the latest call of each upstream.
+
+    Several upstreams may be listed with one address, of which a balancer uses one: an upstream is
+    gone by its own word only, not by that of another one that names its address.
+    """
 
     def __init__(self) -> None:
         self.entries: dict[UpstreamId, TableEntry] = {}
-        self.upstream_by_endpoint: dict[Endpoint, UpstreamId] = {}
 
     def record_announcement(
         self, announcement: Announcement, received_at: Instant, is_recent: bool = True
@@ -58,31 +61,13 @@
                 revived = self._update_last_contact(entry, received_at, is_recent)
                 return AnnouncementOutcome.ACCEPTED, revived
             return AnnouncementOutcome.OUTDATED, []
-        other = self._find_other_at_endpoint(announcement)
-        if other is not None and other.announcement.started_at_ms > announcement.started_at_ms:
-            return AnnouncementOutcome.OUTDATED, []
-        changed: list[UpstreamId] = []
-        if other is not None and other.announcement.status is not AnnouncedStatus.GONE:
-            other.announcement = _mark_gone(other.announcement)
-            changed.append(other.announcement.upstream)
-        changed += self._store(announcement, received_at, is_recent)
-        return AnnouncementOutcome.ACCEPTED, changed
-
-    def _find_other_at_endpoint(self, announcement: Announcement) -> TableEntry | None:
-        """Return the entry of another upstream at the same address, if any."""
-        name = self.upstream_by_endpoint.get(announcement.endpoint)
-        entry = self.entries.get(name) if name is not None else None
-        if entry is None or name == announcement.upstream:
-            return None
-        # An upstream that has restarted at another address has released its previous one.
-        return entry if entry.announcement.endpoint == announcement.endpoint else None
+        return AnnouncementOutcome.ACCEPTED, self._store(announcement, received_at, is_recent)
 
     def _store(
         self, announcement: Announcement, received_at: Instant, is_recent: bool
     ) -> list[UpstreamId]:
         name = announcement.upstream
         entry = self.entries.get(name)
-        self.upstream_by_endpoint[announcement.endpoint] = name
         if entry is None:
             self.entries[name] = TableEntry(announcement, received_at, not is_recent)
             return [name]
@@ -162,9 +147,7 @@
             name for name, entry in self.entries.items() if now - entry.last_contact_at >= seconds
         ]
         for name in expired:
-            endpoint = self.entries.pop(name).announcement.endpoint
-            if self.upstream_by_endpoint.get(endpoint) == name:
-                del self.upstream_by_endpoint[endpoint]
+            del self.entries[name]
         return expired
 
     def list_upstreams(
@@ -185,9 +168,7 @@
     return msgspec.structs.replace(announcement, sequence=0, warmup_ms=0)
 
 
-def _mark_gone(latest: Announcement, notice: LeaveNotice | None = None) -> Announcement:
-    """Return the final call of an upstream, with status `GONE`."""
-    sequence = latest.sequence
-    if notice is not None and notice.sequence is not None:
-        sequence = max(sequence, notice.sequence)
+def _mark_gone(latest: Announcement, notice: LeaveNotice) -> Announcement:
+    """Return the final call of a run, with status `GONE`."""
+    sequence = max(latest.sequence, notice.sequence or 0)
     return msgspec.structs.replace(latest, sequence=sequence, status=AnnouncedStatus.GONE)
--- a/chicorypost/cookies/_index.py
+++ b/chicorypost/cookies/_index.py
@@ -22,6 +22,9 @@
     of one would be forwarded to the other, so only the endpoint whose upstream started first is
     used. All balancers decide so by the same data, and no flow is open at the upstream that is
     left out.
+
+    Several upstreams may name one endpoint, and one of them is there: the one that started last of
+    those that still announce themselves. The others get no flows.
     """
 
     def __init__(self) -> None:
@@ -70,6 +73,11 @@
             self._assign_cookie(cookie)
         return self.left_out - previously_left_out
 
+    def is_cookie_owner(self, name: UpstreamId) -> bool:
+        """Return whether packets with the cookie of a known upstream are forwarded to it."""
+        cookie = make_cookie(self.upstreams[name].announcement.endpoint)
+        return self.decision_by_cookie[cookie].upstream == name
+
     def _add(self, item: VisibleUpstream) -> int:
         announcement = item.announcement
         cookie = make_cookie(announcement.endpoint)
@@ -105,10 +113,10 @@
             self.left_out.discard(item.announcement.upstream)
             if item.announcement.status is not AnnouncedStatus.READY:
                 continue
-            if item.announcement.endpoint == owner.endpoint:
+            if item.announcement.upstream == owner.upstream:
                 service = item.announcement.service
                 self.candidates.setdefault(service, ServiceCandidates()).add(item)
-            else:
+            elif item.announcement.endpoint != owner.endpoint:
                 self.left_out.add(item.announcement.upstream)
 
     def _remove_candidate(self, item: VisibleUpstream) -> None:
@@ -124,15 +132,21 @@
 def _find_cookie_owner(users: list[VisibleUpstream]) -> VisibleUpstream:
     """Return the upstream that receives the packets with a cookie.
 
-    If several upstreams have used an endpoint, the one that started last is there now. Of several
-    endpoints the one that has been in use for longest is the owner.
+    If several upstreams have used an endpoint, the one that started last is there now, unless only
+    another one still announces itself: starts are by the clocks of different machines, and an
+    address may be claimed by mistake. Of several endpoints the one that has been in use for longest
+    is the owner.
     """
     latest_by_endpoint: dict[Endpoint, VisibleUpstream] = {}
-    for item in sorted(users, key=_get_start_order):
+    for item in sorted(users, key=lambda item: (_is_announcing(item), _get_start_order(item))):
         latest_by_endpoint[item.announcement.endpoint] = item
     return min(latest_by_endpoint.values(), key=_get_start_order)
 
 
+def _is_announcing(item: VisibleUpstream) -> bool:
+    return item.announcement.status is not AnnouncedStatus.GONE and not item.is_silent
+
+
 def _get_start_order(item: VisibleUpstream) -> tuple[int, UpstreamId]:
     return (item.announcement.started_at_ms, item.announcement.upstream)
 
--- a/chicorypost/cookies/_router.py
+++ b/chicorypost/cookies/_router.py
@@ -254,7 +254,8 @@
         """Return the upstream of an earlier copy of the opening, unless it won't answer any more.
 
         If two upstreams answered, the client would have the cookie of one and the sequence numbers
-        of the other, so a copy is moved only if its upstream is gone, silent, dead or overdue.
+        of the other, so a copy is moved only if its upstream is gone, silent, dead or overdue,
+        or if another upstream has its address.
         """
         state = self.tracker.flows.get(packet.flow)
         if state is None or not state.is_opening:
@@ -262,6 +263,8 @@
         chosen = self.upstreams.get(state.upstream)
         if chosen is None or chosen.announcement.status is AnnouncedStatus.GONE:
             return None
+        if not self.index.is_cookie_owner(state.upstream):
+            return None
         if packet.ack_number > state.copies:
             state.copies = packet.ack_number
             if self.suspected_upstreams.record_unanswered_opening(
--- a/chicorypost/cookies/tests/test_index.py
+++ b/chicorypost/cookies/tests/test_index.py
@@ -28,6 +28,9 @@
 """Two addresses whose endpoints have the same cookie."""
 
 
+CLAIMANT = UpstreamId("i-9")
+
+
 def make_twin(number, started_at_ms=1000, status=AnnouncedStatus.READY):
     """Return one of two upstreams with the same cookie."""
     call = announce(
@@ -124,6 +127,45 @@
     assert router.index.left_out == set()
 
 
+def make_claimant(started_at_ms, is_silent=False, status=AnnouncedStatus.READY):
+    """Return an upstream of another service at the address of the first upstream of the router."""
+    call = announce(CLAIMANT, started_at_ms=started_at_ms, host="10.0.0.1", status=status)
+    archive = msgspec.structs.replace(call, service=ServiceId("archive"))
+    return VisibleUpstream(archive, is_silent, START)
+
+
+def test_an_address_that_is_used_again_belongs_to_the_upstream_that_started_last(router):
+    """A late call of the upstream that was there before must not bring it back into use."""
+    update_upstreams(router, make_visible(NAMES[0]))
+    change_upstream(router, make_claimant(9000))
+    for silent in (True, False):
+        change_upstream(router, make_visible(NAMES[0], is_silent=silent))
+        assert router.route(opening(b"f"), START) == ResetFlow(ResetReason.NO_UPSTREAM)
+        assert router.route(following(b"g", cookie_of(NAMES[0])), START).upstream == CLAIMANT
+    assert router.index.left_out == set()
+
+
+@pytest.mark.parametrize(
+    "claimant",
+    [make_claimant(9000, is_silent=True), make_claimant(9000, status=AnnouncedStatus.GONE)],
+    ids=["silent", "gone"],
+)
+def test_an_upstream_that_announces_itself_keeps_its_address(router, claimant):
+    """One call that named its address, or a clock that was ahead, took it out of use for good."""
+    update_upstreams(router, make_visible(NAMES[0]))
+    change_upstream(router, make_claimant(9000))
+    change_upstream(router, claimant, seconds=1.0)
+    assert router.route(opening(b"f"), at(2.0)).upstream == NAMES[0]
+    assert router.route(following(b"g", cookie_of(NAMES[0])), at(9.0)).upstream == NAMES[0]
+
+
+def test_a_copy_of_an_opening_leaves_an_address_that_is_used_again(router):
+    update_upstreams(router, make_visible(NAMES[0]))
+    assert router.route(opening(b"f"), START).upstream == NAMES[0]
+    change_upstream(router, make_claimant(9000), make_visible(NAMES[1]))
+    assert router.route(opening(b"f", 1), at(0.2)).upstream == NAMES[1]
+
+
 def test_a_conflict_of_cookies_is_reported_once(router):
     update_upstreams(router, make_twin(0))
     later = make_twin(1, started_at_ms=2000)
