Calls wait for peers that connected before they were known as peers

What callers could see: a drain or a leave that was acknowledged is lost with the one instance that has it, and the upstream is in use again.

Cause: control instances connect for the log before the members of the cluster are known. The registry ignored `PeerConnected` for an instance that wasn't a peer yet, so after a formation its set of connected peers stayed empty and calls waited for nobody.

Change: the registry remembers every connected instance; a call waits for those that are peers.

--- a/chicorypost/announcements/_registry.py
+++ b/chicorypost/announcements/_registry.py
@@ -96,7 +96,8 @@
         self.feed = Feed(settings, feed_id, self.table, now)
         self.dissemination = Dissemination(next_send_at=now)
         self.peers: tuple[InstanceId, ...] = ()
-        self.connected_peers: set[InstanceId] = set()
+        self.connected_instances: set[InstanceId] = set()
+        """Balancers, and control instances also before they are known as peers."""
         self.pending_calls: list[PendingCall] = []
         self.complete_at = Instant(now + settings.silent_seconds)
         self.is_complete = False
@@ -114,11 +115,11 @@
                 self._update_peers(peers)
                 self.effects += self.feed.set_controls(controls, now)
             case PeerConnected(peer):
+                self.connected_instances.add(peer)
                 if peer in self.peers:
-                    self.connected_peers.add(peer)
                     self._send(peer, AnnouncementTableRequest())
             case PeerDisconnected(peer):
-                self.connected_peers.discard(peer)
+                self.connected_instances.discard(peer)
                 self._record_acknowledgement(peer, self.dissemination.change_number)
             case TableRestored(listed):
                 self._restore_table(listed, now)
@@ -151,7 +152,7 @@
         return {
             "complete": self.is_complete,
             "peers": list(self.peers),
-            "connected": sorted(self.connected_peers),
+            "connected": sorted(self._find_connected_peers()),
             "upstreams": {
                 name: [
                     entry.announcement.status.value,
@@ -185,7 +186,7 @@
         ends_use = entry is not None and entry.announcement.status is not AnnouncedStatus.READY
         if changed and ends_use:
             deadline = Instant(now + self.settings.hold_seconds)
-            unconfirmed_peers = set(self.connected_peers)
+            unconfirmed_peers = self._find_connected_peers()
             pending_call = PendingCall(
                 event.call_id,
                 outcome,
@@ -292,10 +293,12 @@
         for peer in set(peers) - set(self.peers):
             self._send(peer, AnnouncementTableRequest())
         for peer in set(self.peers) - set(peers):
-            self.connected_peers.discard(peer)
             self._record_acknowledgement(peer, self.dissemination.change_number)
         self.peers = peers
 
+    def _find_connected_peers(self) -> set[InstanceId]:
+        return self.connected_instances.intersection(self.peers)
+
     def _mark_complete(self, now: Instant) -> None:
         self.is_complete = True
         self.effects += self.feed.mark_complete(now)
--- a/chicorypost/announcements/tests/network.py
+++ b/chicorypost/announcements/tests/network.py
@@ -23,7 +23,7 @@
 class Network:
     """Control instances and one balancer; messages arrive at once unless their link is cut."""
 
-    def __init__(self, controls):
+    def __init__(self, controls, knows_peers_first=True):
         self.now = Instant(0.0)
         self.names = [InstanceId(name) for name in controls]
         self.registries = {}
@@ -35,6 +35,7 @@
         self.ever_usable = set()
         self.disks = dict.fromkeys(self.names, ())
         self.refusing_disks = set()
+        self.knows_peers_first = knows_peers_first
         for number, name in enumerate(self.names, start=1):
             self.start(name, number)
 
@@ -44,11 +45,14 @@
         if is_restored:
             self.deliver(name, TableRestored(self.disks[name]))
         others = tuple(other for other in self.names if other != name)
-        self.deliver(name, PeersChanged(others, tuple(self.names)))
+        if self.knows_peers_first:
+            self.deliver(name, PeersChanged(others, tuple(self.names)))
         for other in others:
             if other in self.registries:
                 self.deliver(name, PeerConnected(other))
                 self.deliver(other, PeerConnected(name))
+        if not self.knows_peers_first:
+            self.deliver(name, PeersChanged(others, tuple(self.names)))
         self.deliver(self.balancer, PeerConnected(name))
 
     def stop(self, name):
--- a/chicorypost/announcements/tests/test_dissemination.py
+++ b/chicorypost/announcements/tests/test_dissemination.py
@@ -48,6 +48,32 @@
     assert [call for call, _ in network.completed_calls] == ["drain"]
 
 
+@pytest.mark.parametrize("is_leave", [False, True])
+def test_a_call_waits_for_peers_whose_connection_was_opened_before_they_were_peers(is_leave):
+    """After the formation of the cluster no call waited for its replication.
+
+    Connections between control instances are open before the members of the cluster are known. An
+    upstream that had left was in use again once the instance that had acknowledged it was lost.
+    """
+    network = Network(["c1", "c2", "c3"], knows_peers_first=False)
+    network.announce("c3", ready(1))
+    network.completed_calls.clear()
+    network.cut_links |= {("c2", "c3")}
+    call = LeaveNotice(ORDERS, 1000, 2) if is_leave else draining(2)
+    network.announce("c3", call, "call")
+    assert network.completed_calls == []
+    network.run(SETTINGS.hold_seconds + 0.2)
+    assert [name for name, _ in network.completed_calls] == ["call"]
+
+
+def test_a_call_waits_for_no_instance_that_is_not_a_peer(network):
+    network.deliver("c1", PeerConnected(network.balancer))
+    network.announce("c1", ready(1))
+    network.completed_calls.clear()
+    network.announce("c1", draining(2), "drain")
+    assert [call for call, _ in network.completed_calls] == ["drain"]
+
+
 def test_a_drain_survives_a_restart_of_the_instance_that_received_it(network):
     network.announce("c1", ready(1))
     network.announce("c1", draining(2))
