Refuse announcements and leave calls with an odd entry, naming the field

Cause: fields that the adapter didn't use were neither required nor read, since the decoder skips them unchecked. Numbers were bounded by what a message can carry: a `born` or `seq` near 2**63 puts an upstream behind all that it says later.

Change: `decode_json` reads all of a body, with at most 32 levels, and names the field that can't be read. The reason of a 400 names the field.

--- a/chicorypost/platform/_announcements.py
+++ b/chicorypost/platform/_announcements.py
@@ -1,24 +1,33 @@
 """Decoding of the calls by which upstreams announce themselves and leave."""
 
-from typing import Annotated
+from typing import Annotated, Literal
 
 import msgspec
 
 from chicorypost.announcements import AnnouncedStatus, Announcement, LeaveNotice
-from chicorypost.base import DataCentreId, ServiceId, UpstreamId
+from chicorypost.base import DataCentreId, Endpoint, ServiceId, UpstreamId
+from chicorypost.platform._json import decode_json
 from chicorypost.platform._settings import MAX_INTEGER, MAX_NAME_CHARACTERS, read_endpoint
 
 MAX_SLOTS = 1_000_000
 MAX_TOKEN = 2**64 - 1
+MAX_SEQUENCE = 2**32 - 1
+"""More than a century of calls, one a second. A greater number is a mistake, and would make every
+later call of its run outdated."""
+MAX_CLOCK_LEAD_MS = 86_400_000
+"""How far the clock of an upstream may be ahead, one day. A later start is a mistake, and would
+make every later call of its upstream outdated."""
 MAX_WARMUP_MS = 86_400_000
 """One day."""
+FIRST_MULTICAST_OCTET = 224
 
 _HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
 _STATUS_BY_STATE = {"ready": AnnouncedStatus.READY, "draining": AnnouncedStatus.DRAINING}
 
 
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_CHARACTERS)]
-Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+Sequence = Annotated[int, msgspec.Meta(ge=0, le=MAX_SEQUENCE)]
+Start = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 
 
 class _AnnouncementBody(msgspec.Struct):
@@ -27,18 +36,21 @@
     service: Name
     address: str
     zone: Name  # data centre
-    max_concurrency: int  # slots: requests that the upstream runs at a time
-    state: str  # a key of _STATUS_BY_STATE
-    seq: Number  # number of the announcement within one run of the upstream
-    born: Number  # start time of the upstream's process, in milliseconds since the Unix epoch
-    warmup_left_ms: float = 0.0  # time until the upstream has warmed up
+    version: Name  # of the upstream's software
+    # slots: requests that the upstream runs at a time
+    max_concurrency: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+    state: Literal["ready", "draining"]
+    seq: Sequence  # number of the announcement within one run of the upstream
+    born: Start  # start time of the upstream's process, in milliseconds since the Unix epoch
+    # time until the upstream has warmed up
+    warmup_left_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_WARMUP_MS)]
 
 
 class _LeaveBody(msgspec.Struct):
     """Body of a leave call; the fields are as in `_AnnouncementBody`."""
 
-    seq: Number | None = None
-    born: Number | None = None
+    seq: Sequence | None = None
+    born: Start | None = None
 
 
 class InvalidAnnouncement(msgspec.Struct, frozen=True):
@@ -47,7 +59,9 @@
     detail: str
 
 
-def read_announcement(upstream_name: str, body: bytes) -> Announcement | InvalidAnnouncement:
+def read_announcement(
+    upstream_name: str, body: bytes, now_ms: int
+) -> Announcement | InvalidAnnouncement:
     """Decode and validate an announcement.
 
     Parameters
@@ -56,23 +70,21 @@
         Name of the upstream, from the path of the call.
     body : bytes
         JSON body of the call.
+    now_ms : int
+        Time of day in milliseconds since the Unix epoch.
 
     Returns
     -------
     Announcement or InvalidAnnouncement
-        The announcement, or why it is rejected.
+        The announcement, or why it is rejected; the reason names the field.
     """
     try:
-        fields = msgspec.json.decode(body, type=_AnnouncementBody)
-        endpoint = read_endpoint(fields.address)
+        fields = decode_json(body, _AnnouncementBody)
+        endpoint = _read_address(fields.address)
         token = read_upstream_token(upstream_name)
-    except (msgspec.DecodeError, msgspec.ValidationError, ValueError) as error:
+        _check_start(fields.born, now_ms)
+    except ValueError as error:
         return InvalidAnnouncement(str(error))
-    status = _STATUS_BY_STATE.get(fields.state)
-    if status is None:
-        return InvalidAnnouncement(f"unknown state: {fields.state!r:.60}")
-    if not 0 < fields.max_concurrency <= MAX_SLOTS or fields.warmup_left_ms > MAX_WARMUP_MS:
-        return InvalidAnnouncement("a number is out of range")
     return Announcement(
         upstream=UpstreamId(upstream_name),
         started_at_ms=fields.born,
@@ -82,22 +94,44 @@
         endpoint=endpoint,
         token=token,
         slots=fields.max_concurrency,
-        status=status,
-        warmup_ms=max(0, int(fields.warmup_left_ms)),
+        status=_STATUS_BY_STATE[fields.state],
+        warmup_ms=int(fields.warmup_left_ms),
     )
 
 
-def read_leave_notice(upstream_name: str, body: bytes) -> LeaveNotice | InvalidAnnouncement:
-    """Decode the call by which an upstream reports that it is leaving."""
-    if not body.strip():
-        return LeaveNotice(UpstreamId(upstream_name), None, None)
+def read_leave_notice(
+    upstream_name: str, body: bytes, now_ms: int
+) -> LeaveNotice | InvalidAnnouncement:
+    """Decode the call by which an upstream reports that it is leaving.
+
+    The parameters are those of `read_announcement`; the body may be empty.
+    """
     try:
-        leave = msgspec.json.decode(body, type=_LeaveBody)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        read_upstream_token(upstream_name)
+        if not body.strip():
+            return LeaveNotice(UpstreamId(upstream_name), None, None)
+        leave = decode_json(body, _LeaveBody)
+        _check_start(leave.born, now_ms)
+    except ValueError as error:
         return InvalidAnnouncement(str(error))
     return LeaveNotice(UpstreamId(upstream_name), leave.born, leave.seq)
 
 
+def _read_address(text: str) -> Endpoint:
+    try:
+        endpoint = read_endpoint(text)
+    except ValueError as error:
+        raise ValueError(f"field `address`: {error}") from error
+    if not 0 < int(endpoint.host.partition(".")[0]) < FIRST_MULTICAST_OCTET:
+        raise ValueError(f"field `address`: not the address of one host: {text!r:.60}")
+    return endpoint
+
+
+def _check_start(started_at_ms: int | None, now_ms: int) -> None:
+    if started_at_ms is not None and started_at_ms > now_ms + MAX_CLOCK_LEAD_MS:
+        raise ValueError(f"field `born`: {started_at_ms:.3e} is later than one day from now")
+
+
 def read_upstream_token(upstream_name: str) -> int:
     """Return the token that packets to an upstream carry: the hex digits of its name as a number.
 
@@ -113,5 +147,5 @@
         or int(digits, 16) > MAX_TOKEN
         or not int(digits, 16)
     ):
-        raise ValueError(f"the name holds no number of 64 bits: {upstream_name!r:.60}")
+        raise ValueError(f"id: holds no number of 64 bits: {upstream_name!r:.60}")
     return int(digits, 16)
--- a/chicorypost/platform/_settings.py
+++ b/chicorypost/platform/_settings.py
@@ -187,4 +187,5 @@
 
 
 def _is_number(text: str) -> bool:
-    return text.isascii() and text.isdigit() and len(text) <= 5
+    # A leading zero is refused: some programs read such an octet as an octal number.
+    return text.isascii() and text.isdigit() and len(text) <= 5 and text == str(int(text))
--- /dev/null
+++ b/chicorypost/platform/tests/test_odd_entries.py
@@ -0,0 +1,112 @@
+"""Entries that another program wrote by mistake: refused by a reason that names the field.
+
+Report: another writer left one odd entry among those of the upstreams, very deeply nested, with a
+number too large, or with a port out of range. The machines that read the list ended again and
+again, or stopped following it.
+"""
+
+import json
+
+import pytest
+
+from chicorypost.platform import (
+    InvalidAnnouncement,
+    read_announcement,
+    read_leave_notice,
+)
+from chicorypost.platform.tests.test_readers import (
+    ANNOUNCEMENT,
+    NOW_MS,
+)
+
+DAY_MS = 86_400_000
+BROKEN_VALUES = {
+    "deep": b"[" * 100_000 + b"]" * 100_000,
+    "deep and cut off": b'{"a":' * 100_000,
+    "deep, but not for the decoder": b"[" * 200 + b"]" * 200,
+    "no UTF-8": b'"a\xff"',
+    "no JSON": b"NaN",
+    "number of no double": b"1e400",
+    "number of 5,000 digits": b"9" * 5_000,
+    "half of a character": b'"\\ud800"',
+    "cut off": b'"a',
+}
+BROKEN = pytest.mark.parametrize("value", BROKEN_VALUES.values(), ids=BROKEN_VALUES)
+
+
+def with_field(base, field, value):
+    """Return the text of an object with one field whose text is given."""
+    rest = json.dumps({key: item for key, item in base.items() if key != field}).encode()
+    return rest[:-1] + b', "' + field.encode() + b'": ' + value + b"}"
+
+
+@BROKEN
+@pytest.mark.parametrize("field", ["service", "born", "a_later_field"])
+def test_announcement_with_an_unreadable_value_names_the_field(field, value):
+    read = read_announcement("i-1", with_field(ANNOUNCEMENT, field, value), NOW_MS)
+    assert isinstance(read, InvalidAnnouncement)
+    assert field in read.detail
+
+
+@BROKEN
+def test_leave_notice_with_an_unreadable_value_names_the_field(value):
+    read = read_leave_notice("i-1", with_field({"seq": 3}, "a_later_field", value), NOW_MS)
+    assert isinstance(read, InvalidAnnouncement)
+    assert "a_later_field" in read.detail
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("version", None),
+        ("version", 7),
+        ("version", ""),
+        ("version", "v" * 300),
+        ("warmup_left_ms", None),
+        ("warmup_left_ms", -1),
+        ("warmup_left_ms", DAY_MS + 1),
+        ("warmup_left_ms", "0"),
+        ("state", "resting"),
+        ("state", ["ready"]),
+        ("max_concurrency", 0),
+        ("max_concurrency", 10**30),
+        ("max_concurrency", 1e30),
+        ("seq", -1),
+        ("seq", 2**32),
+        ("born", NOW_MS + DAY_MS + 1),
+        ("born", 10**300),
+        ("born", NOW_MS * 1_000),
+        ("address", "10.128.0.9:99999"),
+        ("address", "10.128.0.9:65536"),
+        ("address", "10.128.0.9:-1"),
+        ("address", "10.128.0.9:080"),
+        ("address", "010.128.0.9:80"),
+        ("address", "0.0.0.0:80"),
+        ("address", "224.0.0.1:80"),
+        ("address", "255.255.255.255:80"),
+        ("address", "[::1]:80"),
+        ("address", {"host": "10.128.0.9", "port": 80}),
+        ("zone", ""),
+        ("service", {}),
+    ],
+)
+def test_announcement_with_a_value_out_of_range_names_the_field(field, value):
+    body = json.dumps(ANNOUNCEMENT | {field: value}).encode()
+    read = read_announcement("i-1", body, NOW_MS)
+    assert isinstance(read, InvalidAnnouncement)
+    assert f"{field}`" in read.detail
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [("born", NOW_MS + DAY_MS + 1), ("born", 2**70), ("seq", 2**32), ("seq", "1")],
+)
+def test_leave_notice_with_a_value_out_of_range_names_the_field(field, value):
+    """A start in the far future put the upstream behind all that it said later."""
+    read = read_leave_notice("i-1", json.dumps({field: value}).encode(), NOW_MS)
+    assert isinstance(read, InvalidAnnouncement)
+    assert f"{field}`" in read.detail
+
+
+def test_leave_notice_of_an_id_without_a_token_is_refused():
+    assert isinstance(read_leave_notice("xyz", b"", NOW_MS), InvalidAnnouncement)
--- a/chicorypost/platform/tests/test_readers.py
+++ b/chicorypost/platform/tests/test_readers.py
@@ -42,6 +42,7 @@
 RESET = bytes.fromhex("00000000000000000000000000001000" "01bb9c4164400007c612000100000000")
 
 NAME = UpstreamId("i-1")
+NOW_MS = 1_700_000_000_000
 ANNOUNCEMENT: dict[str, Any] = {
     "service": "huvo11a",
     "address": "10.128.0.9:8080",
@@ -172,17 +173,17 @@
 
 
 def test_announcement_of_the_documentation():
-    announcement = read_announcement("i-7f3a91c2", json.dumps(ANNOUNCEMENT).encode())
+    announcement = read_announcement("i-7f3a91c2", json.dumps(ANNOUNCEMENT).encode(), NOW_MS)
     assert isinstance(announcement, Announcement)
     assert announcement.endpoint == Endpoint("10.128.0.9", 8080)
     assert announcement.token == 0x7F3A91C2
     assert (announcement.status, announcement.slots) == (AnnouncedStatus.READY, 2)
 
 
-@pytest.mark.parametrize("field", ["service", "address", "zone", "seq", "state", "born"])
+@pytest.mark.parametrize("field", sorted(ANNOUNCEMENT))
 def test_missing_field_is_invalid(field):
     body = json.dumps({key: value for key, value in ANNOUNCEMENT.items() if key != field}).encode()
-    assert isinstance(read_announcement("i-1", body), InvalidAnnouncement)
+    assert isinstance(read_announcement("i-1", body, NOW_MS), InvalidAnnouncement)
 
 
 @pytest.mark.parametrize(
@@ -207,14 +208,15 @@
 )
 def test_field_of_wrong_type_or_range_is_invalid(fields):
     assert isinstance(
-        read_announcement("i-1", encode_changed(ANNOUNCEMENT, **fields)), InvalidAnnouncement
+        read_announcement("i-1", encode_changed(ANNOUNCEMENT, **fields), NOW_MS),
+        InvalidAnnouncement,
     )
 
 
 @pytest.mark.parametrize("name", ["", "xyz", "i-0", "i-" + "f" * 17])
 def test_name_without_a_token_is_invalid(name):
     assert isinstance(
-        read_announcement(name, json.dumps(ANNOUNCEMENT).encode()), InvalidAnnouncement
+        read_announcement(name, json.dumps(ANNOUNCEMENT).encode(), NOW_MS), InvalidAnnouncement
     )
 
 
@@ -223,9 +225,9 @@
 
 
 def test_leave_notice_may_be_empty():
-    assert read_leave_notice("i-1", b"") == LeaveNotice(NAME, None, None)
-    assert read_leave_notice("i-1", b'{"seq": 4, "born": 9}') == LeaveNotice(NAME, 9, 4)
-    assert isinstance(read_leave_notice("i-1", b"{"), InvalidAnnouncement)
+    assert read_leave_notice("i-1", b"", NOW_MS) == LeaveNotice(NAME, None, None)
+    assert read_leave_notice("i-1", b'{"seq": 4, "born": 9}', NOW_MS) == LeaveNotice(NAME, 9, 4)
+    assert isinstance(read_leave_notice("i-1", b"{", NOW_MS), InvalidAnnouncement)
 
 
 @pytest.mark.parametrize(
@@ -241,27 +243,27 @@
 def test_number_or_name_that_no_message_can_carry_is_invalid(fields):
     """A control instance ended when it sent such an announcement on to its peers."""
     body = encode_changed(ANNOUNCEMENT, **fields)
-    assert isinstance(read_announcement("i-1", body), InvalidAnnouncement)
+    assert isinstance(read_announcement("i-1", body, NOW_MS), InvalidAnnouncement)
     if "seq" in fields or "born" in fields:
-        assert isinstance(read_leave_notice("i-1", body), InvalidAnnouncement)
+        assert isinstance(read_leave_notice("i-1", body, NOW_MS), InvalidAnnouncement)
 
 
 @given(st.sampled_from(["seq", "born", "max_concurrency", "warmup_left_ms"]), st.integers())
 def test_every_announcement_can_be_sent_to_other_instances(field, value):
-    read = read_announcement("i-1", encode_changed(ANNOUNCEMENT, **{field: value}))
+    read = read_announcement("i-1", encode_changed(ANNOUNCEMENT, **{field: value}), NOW_MS)
     if isinstance(read, Announcement):
         encode(AnnouncementTableReply(True, (ListedUpstream(read, False, 0),)))
 
 
 @given(st.binary(max_size=60) | ANY_JSON.map(lambda value: json.dumps(value).encode()))
 def test_any_body_is_an_announcement_or_invalid(body):
-    assert isinstance(read_announcement("i-1", body), Announcement | InvalidAnnouncement)
-    assert isinstance(read_leave_notice("i-1", body), LeaveNotice | InvalidAnnouncement)
+    assert isinstance(read_announcement("i-1", body, NOW_MS), Announcement | InvalidAnnouncement)
+    assert isinstance(read_leave_notice("i-1", body, NOW_MS), LeaveNotice | InvalidAnnouncement)
 
 
 @given(st.sampled_from(sorted(ANNOUNCEMENT)), ANY_JSON)
 def test_any_value_of_an_announcement_field_decodes_without_an_exception(field, value):
-    read = read_announcement("i-1", encode_changed(ANNOUNCEMENT, **{field: value}))
+    read = read_announcement("i-1", encode_changed(ANNOUNCEMENT, **{field: value}), NOW_MS)
     assert isinstance(read, Announcement | InvalidAnnouncement)
 
 
@@ -340,7 +342,7 @@
     assert isinstance(read, RoutingDocument | InvalidRouting)
 
 
-SETTINGS = {
+SETTINGS: dict[str, Any] = {
     "node_name": "edge-1",
     "ip": "10.1.0.10",
     "zone": "a",
--- a/chicorypost/roles/_control_calls.py
+++ b/chicorypost/roles/_control_calls.py
@@ -1,5 +1,6 @@
 """HTTP calls of operators and upstreams to a control instance."""
 
+import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 from uuid import uuid4
@@ -44,6 +45,7 @@
 from chicorypost.routing import InvalidRouting, RoutingState, make_store_command
 from chicorypost.transport import HttpServerRequest, HttpServerResponse
 
+NANOSECONDS_PER_MS = 1_000_000
 LOG_TIMEOUT_SECONDS = 0.9
 """Timeout of a proposal or read; callers try another instance after one second."""
 ANNOUNCED_RUN = "announced run"
@@ -124,9 +126,9 @@
         self,
         request: HttpServerRequest,
         upstream_name: str,
-        read: Callable[[str, bytes], Announcement | LeaveNotice | InvalidAnnouncement],
+        read: Callable[[str, bytes, int], Announcement | LeaveNotice | InvalidAnnouncement],
     ) -> HttpServerResponse | Awaitable[HttpServerResponse]:
-        upstream_call = read(upstream_name, request.body)
+        upstream_call = read(upstream_name, request.body, time.time_ns() // NANOSECONDS_PER_MS)
         refusal_reason = self._find_refusal_reason(upstream_call)
         if refusal_reason is not None or isinstance(upstream_call, InvalidAnnouncement):
             reason = refusal_reason or "unreadable"
@@ -162,7 +164,8 @@
         if document is None or isinstance(upstream_call, LeaveNotice):
             return None
         is_known_service = any(spec.service == upstream_call.service for spec in document.services)
-        return None if is_known_service else f"unknown service {upstream_call.service!r:.60}"
+        reason = f"field `service`: unknown service {upstream_call.service!r:.60}"
+        return None if is_known_service else reason
 
     async def _put_configuration(self, request: HttpServerRequest) -> HttpServerResponse:
         document = read_configuration(request.body)
