Refuse a configuration that can't be read in full, naming the field

One nested in 5,000 levels was answered with 500. One nested in some hundred levels can be read at one depth of the stack and not at another, so that an instance acknowledges what the others can't put in force.

Cause: the decoder skips fields that the type doesn't name without reading them.

A route's address is named when it is wrong.

--- a/chicorypost/platform/_configuration.py
+++ b/chicorypost/platform/_configuration.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from chicorypost.base import ServiceId, Version
+from chicorypost.platform._json import decode_json
 from chicorypost.platform._packets import make_address
 from chicorypost.platform._settings import MAX_INTEGER, MAX_NAME_CHARACTERS, read_endpoint
 from chicorypost.routing import (
@@ -78,9 +79,9 @@
         The configuration, or why it is rejected.
     """
     try:
-        document = msgspec.json.decode(body, type=_Document)
+        document = decode_json(body, _Document)
         routes = tuple(_read_route(route) for route in document.routes)
-    except (msgspec.DecodeError, msgspec.ValidationError, ValueError) as error:
+    except ValueError as error:
         return InvalidRouting(str(error))
     services = tuple(
         ServiceSpec(ServiceId(spec.name), spec.health_path, spec.max_conns)
@@ -93,7 +94,10 @@
 
 
 def _read_route(route: _Route) -> Route:
-    endpoint = read_endpoint(f"{route.host}:{route.path_prefix.strip('/')}")
+    try:
+        endpoint = read_endpoint(f"{route.host}:{route.path_prefix.strip('/')}")
+    except ValueError as error:
+        raise ValueError(f"route {route.name!r:.60}, `host` and `path_prefix`: {error}") from error
     return Route(
         name=route.name,
         address=make_address(endpoint.host, endpoint.port),
--- a/chicorypost/platform/tests/test_odd_entries.py
+++ b/chicorypost/platform/tests/test_odd_entries.py
@@ -9,15 +9,25 @@
 
 import pytest
 
+from chicorypost.announcements import Announcement
+from chicorypost.base import InstanceId
 from chicorypost.platform import (
     InvalidAnnouncement,
+    InvalidNodeSettings,
+    NodeSettings,
     read_announcement,
+    read_configuration,
     read_leave_notice,
+    read_node_settings,
 )
+from chicorypost.platform._json import MAX_NESTING
 from chicorypost.platform.tests.test_readers import (
     ANNOUNCEMENT,
+    CONFIGURATION,
     NOW_MS,
+    SETTINGS,
 )
+from chicorypost.routing import InvalidRouting, RoutingDocument
 
 DAY_MS = 86_400_000
 BROKEN_VALUES = {
@@ -55,6 +65,24 @@
     assert "a_later_field" in read.detail
 
 
+@BROKEN
+@pytest.mark.parametrize("field", ["version", "limits", "a_later_field"])
+def test_configuration_with_an_unreadable_value_names_the_field(field, value):
+    """A configuration that no strict reader takes was acknowledged and in force."""
+    read = read_configuration(with_field(CONFIGURATION, field, value))
+    assert isinstance(read, InvalidRouting)
+    assert field in read.detail
+
+
+@BROKEN
+def test_configuration_with_an_unreadable_value_of_an_unused_field_is_refused(value):
+    service = with_field(CONFIGURATION["services"][0], "protocol", value)
+    services = b"[" + service + b"]"
+    read = read_configuration(with_field(CONFIGURATION, "services", services))
+    assert isinstance(read, InvalidRouting)
+    assert "services" in read.detail
+
+
 @pytest.mark.parametrize(
     ("field", "value"),
     [
