Ignore odd entries of peers, feeds and disks; an odd address ends no process

What callers could see: a control instance or balancer that learned a host of over 63 characters from the first message of a connection ended with UnicodeError when it connected there. An entry with a port out of range in a table stayed in use, and each opening to it was lost. A command of the log that is no configuration raised an error while it was applied, at each start again.

Cause: messages were checked by type only.

Change: a hello with a port out of range or an odd id is refused; an address that no socket takes counts as unreachable and is logged. Table entries from peers, feeds and disk are checked one by one: an odd one is ignored with the event upstream-entry-ignored, the others hold. The roles check messages between replicas as the daemons do. Bytes of the log that are no configuration leave the one in force, with routing-unreadable.

Ruled out: a port out of range or a zero byte in an address to connect to; both were OSError and counted as unreachable before.

--- a/chicorypost/announcements/_events.py
+++ b/chicorypost/announcements/_events.py
@@ -2,6 +2,15 @@
 
 from chicorypost.events import Level, define_event
 
+UPSTREAM_ENTRY_IGNORED = define_event(
+    810,
+    "upstream-entry-ignored",
+    Level.ERROR,
+    "An upstream in the table of a peer or on disk has an impossible field; it is ignored.",
+    "upstream",
+    "source",
+    "field",
+)
 ROUTING_CHANGE_UNUSABLE = define_event(
     800,
     "routing-change-unusable",
--- a/chicorypost/announcements/_registry.py
+++ b/chicorypost/announcements/_registry.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from chicorypost.announcements._entry_checks import select_usable
 from chicorypost.announcements._feed import Feed
 from chicorypost.announcements._messages import (
     AnnouncementTableReply,
@@ -214,7 +215,7 @@
     def _receive(self, sender: InstanceId, message: Message, now: Instant) -> None:
         match message:
             case ReplicateChanges(change_number=change_number, listed=listed):
-                self._merge_table(listed, now)
+                self._merge_table(sender, listed, now)
                 self._send(sender, ChangesReplicated(change_number))
             case ChangesReplicated(change_number=change_number):
                 self._record_acknowledgement(sender, change_number)
@@ -225,7 +226,7 @@
                     sender, AnnouncementTableReply(self.is_complete, self.list_all_upstreams(now))
                 )
             case AnnouncementTableReply(is_complete=is_complete, listed=listed):
-                self._merge_table(listed, now)
+                self._merge_table(sender, listed, now)
                 if is_complete and not self.is_complete:
                     self._mark_complete(now)
             case Subscribe():
@@ -237,16 +238,22 @@
                     f"registry received an unsupported message: got {type(message).__name__}"
                 )
 
-    def _merge_table(self, listed: tuple[ListedUpstream, ...], now: Instant) -> None:
+    def _merge_table(
+        self, sender: InstanceId, listed: tuple[ListedUpstream, ...], now: Instant
+    ) -> None:
+        usable, events = select_usable(listed, sender)
+        self.effects += events
         changed: list[UpstreamId] = []
-        for item in listed:
+        for item in usable:
             received_at = Instant(now - item.age_ms / MS_PER_SECOND)
             is_recent = not item.is_silent and now - received_at < self.settings.silent_seconds
             changed += self.table.record_announcement(item.announcement, received_at, is_recent)[1]
         self._publish(changed, now, replicate=False)
 
     def _restore_table(self, listed: tuple[ListedUpstream, ...], now: Instant) -> None:
-        for item in listed:
+        usable, events = select_usable(listed, "disk")
+        self.effects += events
+        for item in usable:
             # The downtime is unknown, so each upstream is remembered for the full time again.
             if not item.is_silent or item.announcement.status is AnnouncedStatus.GONE:
                 self.table.record_announcement(item.announcement, now, is_recent=False)
--- a/chicorypost/announcements/_view.py
+++ b/chicorypost/announcements/_view.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from chicorypost.announcements import _events
+from chicorypost.announcements._entry_checks import select_usable
 from chicorypost.announcements._messages import (
     DocumentChanged,
     DocumentReply,
@@ -219,7 +220,9 @@
             # A page was missed, so request the full table.
             self._send(sender, Subscribe(0, 0, False))
             return
-        changed = {item.announcement.upstream for item in page.listed}
+        usable, events = select_usable(page.listed, sender)
+        self.effects += events
+        changed = {item.announcement.upstream for item in usable}
         if page.is_full:
             changed |= set(feed.listed)
             feed.listed = {}
@@ -227,7 +230,7 @@
         feed.is_connected = feed.is_current = True
         feed.feed_id, feed.position = page.feed_id, page.position
         feed.controls, feed.version = page.controls, page.version
-        feed.listed.update({item.announcement.upstream: item for item in page.listed})
+        feed.listed.update({item.announcement.upstream: item for item in usable})
         if feed.is_complete != was_complete:
             changed = set(self.upstreams) | changed
         self._update_upstreams(changed, now)
--- a/chicorypost/roles/_replica_host.py
+++ b/chicorypost/roles/_replica_host.py
@@ -26,8 +26,10 @@
     ReplicaStorage,
     SnapshotTaken,
     StorageDamage,
+    find_message_fault,
 )
 from chicorypost.daemons import Engine
+from chicorypost.daemons._events import MESSAGE_REFUSED
 from chicorypost.events import Emit
 from chicorypost.roles._events import DISK_FAILED, DISK_RECOVERED, REPLICA_FAILED
 
@@ -95,6 +97,10 @@
                 return []
             case ContactsChanged(contacts):
                 self.contacts = contacts
+            case Received(sender, message):
+                fault = find_message_fault(message)
+                if fault is not None:
+                    return [MESSAGE_REFUSED.emit(peer=sender, reason=fault)]
         if self.replica is not None:
             return self.replica.handle(event, now)
         match event:
--- a/chicorypost/routing/_state.py
+++ b/chicorypost/routing/_state.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+import msgspec
+
 from chicorypost.base import Record, Version, pack_record, unpack_record
 from chicorypost.routing._document import InvalidRouting, RoutingDocument
 
@@ -44,7 +46,7 @@
         A command whose version isn't higher than the applied one is ignored, whatever its content.
         A configuration that this build can't read is stored and isn't put in force.
         """
-        return self._apply_if_newer(unpack_record(command, StoredConfiguration))
+        return self._apply_bytes(command)
 
     def snapshot(self) -> bytes:
         """Return the serialised state for a snapshot of the log."""
@@ -52,7 +54,15 @@
 
     def restore(self, data: bytes) -> bool:
         """Apply the state of a snapshot; return whether it changed the configuration."""
-        return self._apply_if_newer(unpack_record(data, StoredConfiguration))
+        return self._apply_bytes(data)
+
+    def _apply_bytes(self, data: bytes) -> bool:
+        try:
+            stored = unpack_record(data, StoredConfiguration)
+        except (ValueError, msgspec.ValidationError) as error:
+            self.unreadable = InvalidRouting(str(error))
+            return False
+        return self._apply_if_newer(stored)
 
     def _apply_if_newer(self, stored: StoredConfiguration) -> bool:
         if stored.version <= self.version:
--- a/chicorypost/transport/_peers.py
+++ b/chicorypost/transport/_peers.py
@@ -28,6 +28,9 @@
 from chicorypost.transport._settings import TransportSettings
 from chicorypost.transport._tls import TlsContexts, certificate_names
 
+MAX_INSTANCE_CHARACTERS = 255
+MAX_PORT = 65_535
+
 MessageHandler = Callable[[InstanceId, Message], None]
 
 
@@ -227,6 +230,10 @@
                 return tls
         except (OSError, trio.TooSlowError, trio.BrokenResourceError):
             return None
+        except (ValueError, OverflowError) as error:
+            # No socket takes the address, which may be from the hello of another program.
+            self._report_error(link.peer, error)
+            return None
 
     async def _send_queue(self, link: PeerLink, stream: trio.abc.Stream) -> None:
         # One write sends all queued messages: fewer system calls and packets under load.
@@ -306,6 +313,8 @@
                 self._report_refusal(
                     "unknown", f"first message is {hello!r:.200}, allowed is a hello"
                 )
+            elif (fault := _find_hello_fault(hello)) is not None:
+                self._report_refusal(f"{hello.instance:.60}", fault)
             elif names is not None and hello.instance not in names:
                 self._report_refusal(
                     hello.instance, f"certificate is for {sorted(names)}, not for the instance"
@@ -381,6 +390,15 @@
         self.emit(FRAME_REFUSED.emit(peer=peer, reason=reason))
 
 
+def _find_hello_fault(hello: ConnectionHello) -> str | None:
+    """Return why a hello can't be from an instance, or None if it can."""
+    if not 0 < len(hello.instance) <= MAX_INSTANCE_CHARACTERS:
+        return f"instance has {len(hello.instance)} characters, allowed are 1 to 255"
+    if not NOT_LISTENING_PORT <= hello.control.port <= MAX_PORT:
+        return f"control has port {hello.control.port}, allowed is 0 to {MAX_PORT}"
+    return None
+
+
 def _discard_queue(link: PeerLink) -> None:
     while link.receive_channel.statistics().current_buffer_used:
         link.receive_channel.receive_nowait()
--- a/chicorypost/transport/tests/test_transport.py
+++ b/chicorypost/transport/tests/test_transport.py
@@ -109,6 +109,65 @@
     assert received == [TextMessage("still served")]
 
 
+def make_hello(instance="x", port=1):
+    return encode_frame(
+        ConnectionHello(
+            InstanceId(instance), Incarnation(1), DataCentreId("gent"), Endpoint("127.0.0.1", port)
+        )
+    )
+
+
+@pytest.mark.parametrize(
+    "hello",
+    [make_hello(port=99_999), make_hello(port=-1), make_hello(""), make_hello("x" * 256)],
+    ids=["port out of range", "negative port", "no id", "long id"],
+)
+def test_hello_with_an_odd_field_is_refused_and_teaches_no_address(hello):
+    log: list[Emit] = []
+
+    async def scenario(nursery):
+        network = await start_network(nursery, "left", lambda *_: None, log)
+        endpoint = network.hello.control
+        stream = await trio.open_tcp_stream(endpoint.host, endpoint.port)
+        await stream.send_all(hello)
+        await stream.send_eof()
+        while await stream.receive_some():
+            pass
+        assert (network.refused_connections, network.addresses) == (1, {})
+
+    run(scenario)
+    assert [event.spec.name for event in log] == ["frame-refused"]
+
+
+@pytest.mark.parametrize(
+    "endpoint",
+    [Endpoint("127.0.0.1", 99_999), Endpoint("x" * 300, 80), Endpoint("127.0.0.1\0", 80)],
+    ids=["port out of range", "long host", "host with a zero byte"],
+)
+def test_address_that_no_socket_takes_does_not_end_the_process(endpoint):
+    """The task that connects failed with UnicodeError at a long host, and the process ended."""
+    received: list[object] = []
+
+    async def scenario(nursery):
+        finished = trio.Event()
+
+        def receive(sender, message):
+            received.append(message)
+            finished.set()
+
+        left = await start_network(nursery, "left", receive, [])
+        right = await start_network(nursery, "right", receive, [])
+        left.learn_address(InstanceId("odd"), endpoint)
+        left.learn_address(InstanceId("right"), right.hello.control)
+        left.send(InstanceId("odd"), TextMessage("lost"))
+        await trio.sleep(0.3)
+        left.send(InstanceId("right"), TextMessage("still sent"))
+        await finished.wait()
+
+    run(scenario)
+    assert received == [TextMessage("still sent")]
+
+
 def test_a_silent_connection_is_closed_and_reopened():
     log: list[Emit] = []
 
