Daemons: refuse odd entries of announcements and member changes

What callers could see: an announcement with a port out of range was accepted and counted as an upstream; one nested too deeply was answered with 500; a member change whose instance is a number went into the log, where every other member refuses the messages that carry it.

Cause: ports, hosts and incarnations were checked by type only, ids of member changes not at all, and the decoder's RecursionError was caught in patches only.

Change: bounds for ports, hosts and incarnations; ids of member changes are texts; RecursionError is an unreadable body, also in settings files.

--- a/chicorypost/daemons/_announcements.py
+++ b/chicorypost/daemons/_announcements.py
@@ -1,6 +1,7 @@
 """HTTP endpoint that receives the announcements of upstreams."""
 
 import json
+from typing import Annotated
 
 from pydantic import Field, ValidationError
 
@@ -21,6 +22,10 @@
 from chicorypost.upstreams import AnnouncementReceived, UpstreamDirectory
 
 ANNOUNCEMENTS_PATH = "/v1/announcements"
+MAX_INCARNATION = 2**63 - 1
+"""Largest integer that all codecs between the processes can carry."""
+Host = Annotated[str, Field(min_length=1, max_length=253, pattern=r"^[0-9A-Za-z.:-]+$")]
+Port = Annotated[int, Field(ge=1, le=65_535)]
 
 
 class AnnouncementBody(Settings):
@@ -43,11 +48,11 @@
     """
 
     upstream: UpstreamId = Field(min_length=1, max_length=200)
-    incarnation: Incarnation = Field(ge=0)
+    incarnation: Incarnation = Field(ge=0, le=MAX_INCARNATION)
     service: ServiceId = Field(min_length=1, max_length=200)
     data_centre: DataCentreId = Field(min_length=1, max_length=100)
-    packets: tuple[str, int]
-    requests: tuple[str, int]
+    packets: tuple[Host, Port]
+    requests: tuple[Host, Port]
     slots: int = Field(ge=1, le=100_000)
     connections: int = Field(ge=1, le=10_000_000)
     state: UpstreamState
@@ -92,7 +97,7 @@
             )
         try:
             body = AnnouncementBody.model_validate(json.loads(request.body))
-        except (ValueError, ValidationError) as error:
+        except (ValueError, ValidationError, RecursionError) as error:
             reason = str(error)
             self.engine.emit(ANNOUNCEMENT_MALFORMED.emit(reason=reason[:500]))
             return json_response(400, {"error": reason})
--- a/chicorypost/daemons/_control_api.py
+++ b/chicorypost/daemons/_control_api.py
@@ -43,6 +43,7 @@
 from chicorypost.transport import HttpServerRequest, HttpServerResponse
 
 MAX_HISTORY_ENTRIES = 200
+MAX_ID_CHARACTERS = 200
 UNKNOWN_AUTHOR = "unknown"
 
 RequestHandler = Callable[[HttpServerRequest], Awaitable[HttpServerResponse]]
@@ -275,7 +276,9 @@
         body = json.loads(request.body)
         action, instance = body["action"], body["instance"]
         generation = body.get("generation")
-    except (ValueError, KeyError, TypeError, AttributeError):
+    except (ValueError, KeyError, TypeError, AttributeError, RecursionError):
+        return make_problem_response(400, "malformed", title)
+    if not _is_name(instance) or not (generation is None or _is_name(generation)):
         return make_problem_response(400, "malformed", title)
     match action:
         case "add" if generation:
@@ -287,6 +290,11 @@
     return make_problem_response(400, "malformed", title)
 
 
+def _is_name(value: Any) -> bool:
+    """Return whether a value can be an id; one of another type would stop the members' log."""
+    return isinstance(value, str) and 0 < len(value) <= MAX_ID_CHARACTERS
+
+
 def _is_made(change: MembershipChange, membership: ClusterMembership) -> bool:
     """Return whether a membership shows the result of an addition or promotion.
 
--- a/chicorypost/daemons/_settings.py
+++ b/chicorypost/daemons/_settings.py
@@ -187,7 +187,7 @@
         values = json.loads(file.read_text(encoding="utf-8"))
     except OSError as error:
         return [InvalidSetting(str(file), f"cannot be read: {error.strerror}")]
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         return [InvalidSetting(str(file), f"is not JSON: {error}")]
     return check_settings(values, settings_class)
 
--- a/chicorypost/daemons/tests/test_fuzzing.py
+++ b/chicorypost/daemons/tests/test_fuzzing.py
@@ -2,6 +2,7 @@
 
 import json
 
+import pytest
 import trio
 import trio.testing
 from hypothesis import given, settings
@@ -48,6 +49,29 @@
     assert send_announcement(json.dumps(VALID_ANNOUNCEMENT).encode()) == 200
 
 
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("packets", ["127.0.0.1", 99_999]),
+        ("packets", ["127.0.0.1", 0]),
+        ("requests", ["127.0.0.1", -1]),
+        ("requests", ["", 80]),
+        ("requests", ["127.0.0.1\0", 80]),
+        ("incarnation", 2**70),
+        ("slots", 10**30),
+        ("valid_for_seconds", 1e300),
+    ],
+)
+def test_an_announcement_with_a_value_out_of_range_is_refused(field, value):
+    """Report: entries with a port out of range ended the machines that read them."""
+    assert send_announcement(json.dumps(VALID_ANNOUNCEMENT | {field: value}).encode()) == 400
+
+
+@pytest.mark.parametrize("body", [b"[" * 100_000, b'{"a":' * 100_000])
+def test_a_deeply_nested_announcement_is_refused(body):
+    assert send_announcement(body) == 400
+
+
 @settings(max_examples=60)
 @given(st.binary(max_size=200))
 def test_an_announcement_of_arbitrary_bytes_is_refused(body):
--- a/chicorypost/daemons/tests/test_member_changes.py
+++ b/chicorypost/daemons/tests/test_member_changes.py
@@ -36,6 +36,29 @@
     return trio.run(endpoint.handle, request)
 
 
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"instance": 7, "generation": "g3"},
+        {"instance": {"a": 1}, "generation": "g3"},
+        {"instance": "", "generation": "g3"},
+        {"instance": "c" * 201, "generation": "g3"},
+        {"instance": "control-3", "generation": 7},
+        {"instance": "control-3", "generation": ["g3"]},
+    ],
+)
+def test_a_change_with_an_id_that_is_no_name_is_refused(change):
+    """The members would refuse each message with such an entry, and the log would stop."""
+    assert change_members(None, action="add", **change).status == 400
+
+
+@pytest.mark.parametrize("body", [b"[" * 100_000, b'{"a":' * 100_000])
+def test_a_deeply_nested_change_is_refused(body):
+    endpoint = OperatorEndpoint(None, None, None, dict, 1.0)  # type: ignore[arg-type]
+    request = HttpServerRequest("POST", "/v1/members", (), body)
+    assert trio.run(endpoint.handle, request).status == 400
+
+
 @pytest.mark.parametrize("reason", [None, ProposalRefusalReason.LEADERSHIP_LOST])
 def test_a_change_that_may_still_be_made_is_not_called_refused(reason):
     """Report: after an answer was lost, the caller was told that the change wasn't made."""
