--- a/benchmarks/soak/processes.py
+++ b/benchmarks/soak/processes.py
@@ -79,7 +79,7 @@
 
     def _copy_log(self, process: subprocess.Popen[bytes]) -> None:
         assert process.stdout is not None
-        with open(self.folder / "log", "ab") as log:
+        with open(self.folder / "log", "ab", buffering=0) as log:
             for line in process.stdout:
                 log.write(line)
 
--- a/chicorypost/roles/_settings_file.py
+++ b/chicorypost/roles/_settings_file.py
@@ -43,8 +43,10 @@
             if loaded.detail != last_error:
                 emit(SETTINGS_REFUSED.emit(reason=loaded.detail))
             last_error = loaded.detail
-        elif loaded != settings:
-            settings, last_error = loaded, ""
+            continue
+        last_error = ""
+        if loaded != settings:
+            settings = loaded
             emit(SETTINGS_CHANGED.emit(seeds=" ".join(settings.seeds)))
             _report_ignored_seeds(settings, emit)
             on_change(settings)
--- a/chicorypost/transport/_peers.py
+++ b/chicorypost/transport/_peers.py
@@ -396,6 +396,10 @@
         return f"instance has {len(hello.instance)} characters, allowed are 1 to 255"
     if not NOT_LISTENING_PORT <= hello.control.port <= MAX_PORT:
         return f"control has port {hello.control.port}, allowed is 0 to {MAX_PORT}"
+    try:
+        hello.control.host.encode("idna")
+    except UnicodeError:
+        return f"control has host {hello.control.host!r:.60}, which is no host name"
     return None
 
 
--- a/chicorypost/transport/tests/test_transport.py
+++ b/chicorypost/transport/tests/test_transport.py
@@ -109,18 +109,24 @@
     assert received == [TextMessage("still served")]
 
 
-def make_hello(instance="x", port=1):
+def make_hello(instance="x", host="127.0.0.1", port=1):
     return encode_frame(
         ConnectionHello(
-            InstanceId(instance), Incarnation(1), DataCentreId("gent"), Endpoint("127.0.0.1", port)
+            InstanceId(instance), Incarnation(1), DataCentreId("gent"), Endpoint(host, port)
         )
     )
 
 
 @pytest.mark.parametrize(
     "hello",
-    [make_hello(port=99_999), make_hello(port=-1), make_hello(""), make_hello("x" * 256)],
-    ids=["port out of range", "negative port", "no id", "long id"],
+    [
+        make_hello(port=99_999),
+        make_hello(port=-1),
+        make_hello(host="x" * 300),
+        make_hello(""),
+        make_hello("x" * 256),
+    ],
+    ids=["port out of range", "negative port", "long host", "no id", "long id"],
 )
 def test_hello_with_an_odd_field_is_refused_and_teaches_no_address(hello):
     log: list[Emit] = []
