A deeply nested log line is unreadable and doesn't end `explain`

Cause: RecursionError of the decoder was not counted among the errors of a line. Measured: the new test failed with RecursionError before the change; it passes.

--- a/chicorypost/commands/_explain.py
+++ b/chicorypost/commands/_explain.py
@@ -68,7 +68,7 @@
         value = json.loads(text[text.index("{") :])
         fields = {key: item for key, item in value.items() if key not in COMMON_FIELDS}
         return LogLine(value["time"], value["instance"], value["event"], fields)
-    except (ValueError, KeyError, AttributeError):
+    except (ValueError, KeyError, AttributeError, RecursionError):
         return None
 
 
--- a/chicorypost/commands/tests/test_explain.py
+++ b/chicorypost/commands/tests/test_explain.py
@@ -49,6 +49,11 @@
     assert (len(content.lines), content.unreadable_count) == (1, 3)
 
 
+def test_a_deeply_nested_line_is_unreadable_and_the_others_are_read():
+    content = read_logs([LOGS[0], '{"time":' + '{"a":' * 100_000])
+    assert (len(content.lines), content.unreadable_count) == (1, 1)
+
+
 def test_an_unknown_name_and_a_missing_file_are_reported(tmp_path):
     log = tmp_path / "a.log"
     log.write_text("\n".join(LOGS))
