--- a/tests/test_fault_matrix.py
+++ b/tests/test_fault_matrix.py
@@ -25,7 +25,7 @@
 )
 PROMISE_COUNT = 8
 REPORTS_HEADING = "## Reports of other operators"
-REPORT_COUNT = 8
+REPORT_COUNT = 9
 WAYS = ("daemons", "roles")
 
 
