--- a/tests/test_role_processes.py
+++ b/tests/test_role_processes.py
@@ -8,16 +8,21 @@
 import contextlib
 import http.client
 import json
-import os
-import random
 import signal
 import socket
-import threading
 import time
 
 import pytest
 
-from benchmarks.soak.processes import RoleProcess
+from benchmarks.standins.role_cluster import (
+    CONFIGURATION,
+    CONTROL_PORT,
+    PEER_PORT,
+    SOUND,
+    RoleCluster,
+    call,
+    wait_until,
+)
 from chicorypost.announcements import AnnouncementTableReply, FeedPage
 from chicorypost.announcements._messages import ReplicateChanges, ReportContacts, UpstreamContact
 from chicorypost.announcements.tests.test_odd_entries import ODD_ENTRIES
@@ -35,18 +40,11 @@
 from chicorypost.consensus import ClusterMembership
 from chicorypost.consensus._messages import AppendRequest, ClusterInfo, FormationHello, VoteRequest
 from chicorypost.consensus._records import MemberId
-from chicorypost.roles._admin import ADMIN_PORT
 from chicorypost.transport import NOT_LISTENING_PORT, ConnectionHello, encode_frame
 from chicorypost.transport._frame_buffer import LENGTH_BYTES
 
 pytestmark = pytest.mark.xdist_group("control-processes")
 
-CONTROL_PORT = 8166
-PEER_PORT = 7720
-PACKET_PORT = 8172
-READY_PORT = 8167
-START_SECONDS = 45.0
-HEARTBEAT_SECONDS = 0.5
 DEEP = b"[" * 100_000
 ODD_VALUES = {
     "deep": DEEP + b"]" * 100_000,
@@ -55,174 +53,11 @@
     "number of 5,000 digits": b"9" * 5_000,
     "no UTF-8": b'"\xff"',
 }
-SOUND = "i-5a"
-CONFIGURATION = {
-    "version": 7,
-    "routes": [
-        {
-            "name": "r-1",
-            "host": "198.18.0.1",
-            "path_prefix": "/443/",
-            "route_type": "safe",
-            "timeout_ms": 1000,
-            "service": "orders",
-        }
-    ],
-    "services": [{"name": "orders", "health_path": "/health", "protocol": "h1"}],
-    "limits": {"idle_timeout_ms": 15000},
-}
-
-
-def wait_until(condition, seconds=START_SECONDS):
-    deadline = time.monotonic() + seconds
-    while not condition():
-        assert time.monotonic() < deadline
-        time.sleep(0.05)
-
-
-def call(host, method, path, body=b"", port=CONTROL_PORT):
-    """Make one HTTP call; return the status and the body, or 0 without a response."""
-    connection = http.client.HTTPConnection(host, port, timeout=5.0)
-    try:
-        connection.request(method, path, body)
-        response = connection.getresponse()
-        return response.status, response.read()
-    except OSError:
-        return 0, b""
-    finally:
-        connection.close()
-
-
-class Cluster:
-    """Three control instances and a balancer, one sound upstream, and a rogue control instance."""
-
-    def __init__(self, folder):
-        self.number = 10 + (os.getpid() + random.randrange(200)) % 200
-        self.seeds = [f"{self.host(1, n)}:{CONTROL_PORT}" for n in range(3)]
-        self.controls = [self.make_process(folder, "control", n) for n in range(3)]
-        self.balancer = self.make_process(folder, "balancer", 0)
-        self.processes = [*self.controls, self.balancer]
-        self.sequence = 0
-        self.stopping = threading.Event()
-        self.rogue_frames = []
-        self.rogue = socket.create_server((self.host(6, 0), PEER_PORT))
-        self.rogue.settimeout(0.2)
-        self.threads = [
-            threading.Thread(target=run, daemon=True)
-            for run in (self.announce_regularly, self.serve_rogue)
-        ]
-
-    def host(self, kind, number):
-        return f"127.{self.number}.{kind}.{number + 1}"
-
-    def make_process(self, folder, role, number):
-        host = self.host(1 if role == "control" else 3, number)
-        name = f"{role}-{number}"
-        settings = {
-            "node_name": name,
-            "ip": host,
-            "zone": "a",
-            "internal_ports": [PEER_PORT, PEER_PORT + 10],
-            "seeds": self.seeds,
-            "bootstrap": True,
-            "heartbeat_interval_ms": int(HEARTBEAT_SECONDS * 1000),
-            "data_dir": None,
-        }
-        if role == "control":
-            settings["listen"] = {"control": f"{host}:{CONTROL_PORT}"}
-            settings["data_dir"] = str(folder / name / "disk")
-        else:
-            settings["listen"] = {
-                "datagram_addr": f"{host}:{PACKET_PORT}",
-                "readiness_addr": f"{host}:{READY_PORT}",
-            }
-            settings["seeds"] = [*self.seeds, f"{self.host(6, 0)}:{CONTROL_PORT}"]
-        return RoleProcess(role, settings, folder / name)
-
-    def start(self):
-        for process in self.processes:
-            process.start()
-        body = json.dumps(CONFIGURATION).encode()
-        wait_until(lambda: self.call_any("POST", "/-/Config.Put", body)[0] == 200)
-        for thread in self.threads:
-            thread.start()
-        wait_until(self.is_sound)
-
-    def stop(self):
-        self.stopping.set()
-        for process in self.processes:
-            process.kill()
-        for thread in self.threads:
-            thread.join()
-        self.rogue.close()
-
-    def call_any(self, method, path, body=b""):
-        answers = [call(self.host(1, n), method, path, body) for n in range(3)]
-        return max(answers, key=lambda answer: answer[0] == 200)
-
-    def announcement(self, **changes):
-        self.sequence += 1
-        return {
-            "service": "orders",
-            "address": f"{self.host(4, 0)}:8080",
-            "zone": "a",
-            "version": "v1",
-            "max_concurrency": 4,
-            "state": "ready",
-            "warmup_left_ms": 0,
-            "seq": self.sequence,
-            "born": 1_700_000_000_000,
-        } | changes
-
-    def announce_regularly(self):
-        path = f"/-/Backends.Heartbeat/{SOUND}"
-        while not self.stopping.wait(HEARTBEAT_SECONDS):
-            self.call_any("POST", path, json.dumps(self.announcement()).encode())
-
-    def serve_rogue(self):
-        """Send the frames of the rogue control instance on each connection of the balancer."""
-        while not self.stopping.is_set():
-            with contextlib.suppress(OSError):
-                connection, _ = self.rogue.accept()
-                with connection:
-                    for frame in self.rogue_frames:
-                        connection.sendall(frame)
-                    self.stopping.wait(0.3)
-
-    def dump(self, process):
-        status, body = call(process.settings["ip"], "GET", "/dump", port=ADMIN_PORT)
-        return json.loads(body) if status == 200 else {}
-
-    def is_sound(self):
-        """Return whether every process lists the sound upstream and nothing else, in version 7."""
-        for process in self.controls:
-            state = self.dump(process)
-            upstreams = state.get("announcements", {}).get("upstreams", {})
-            if state.get("version") != 7 or list(upstreams) != [SOUND]:
-                return False
-            if upstreams[SOUND][:2] != ["ready", "heard"]:
-                return False
-        state = self.dump(self.balancer)
-        upstreams = state.get("view", {}).get("upstreams", {})
-        return state.get("ready") is True and upstreams == {SOUND: ["ready", "heard"]}
-
-    def count_errors(self):
-        """Return the log lines that name an unexpected error or a failed replica."""
-        names = ('"unexpected-error"', '"replica-failed"', "Traceback")
-        return [
-            line
-            for process in self.processes
-            for line in (process.folder / "log").read_text(errors="replace").splitlines()
-            if any(name in line for name in names)
-        ]
-
-    def read_log(self, process):
-        return (process.folder / "log").read_text(errors="replace")
 
 
 @pytest.fixture(scope="module")
 def cluster(tmp_path_factory):
-    cluster = Cluster(tmp_path_factory.mktemp("roles"))
+    cluster = RoleCluster(tmp_path_factory.mktemp("roles"))
     try:
         cluster.start()
         yield cluster
@@ -237,7 +72,7 @@
     yield cluster
     assert [process.process.pid for process in cluster.processes if process.is_running] == before
     wait_until(cluster.is_sound, 15.0)
-    assert cluster.count_errors() == []
+    assert cluster.list_errors() == []
 
 
 def send_to_all(cluster, path, body):
@@ -297,6 +132,18 @@
     assert {status for status, _ in answers} <= {200, 503}
 
 
+def test_a_late_leave_call_on_the_connection_of_an_earlier_run_does_not_end_this_one(started):
+    """Review, case 3: the call was taken as that of the latest run, whose flows were then reset."""
+    earlier_run = started.announcement(born=1_600_000_000_000, state="draining")
+    for number in range(3):
+        connection = http.client.HTTPConnection(started.host(1, number), CONTROL_PORT, timeout=5.0)
+        for path, body in (("Heartbeat", json.dumps(earlier_run).encode()), ("Leave", b"")):
+            connection.request("POST", f"/-/Backends.{path}/{SOUND}", body)
+            response = connection.getresponse()
+            assert (response.status, response.read()) == (200, b"{}")
+        connection.close()
+
+
 @pytest.mark.parametrize("value", ODD_VALUES.values(), ids=ODD_VALUES)
 def test_an_odd_configuration_is_refused_by_its_field(started, value):
     body = set_field(CONFIGURATION | {"version": 90}, "a_later_field", value)
@@ -431,4 +278,4 @@
     process.start()
     wait_until(lambda: cluster.dump(process).get("version") == 7)
     wait_until(cluster.is_sound)
-    assert cluster.count_errors() == []
+    assert cluster.list_errors() == []
