--- a/chicorypost/cookies/__init__.py
+++ b/chicorypost/cookies/__init__.py
@@ -16,9 +16,11 @@
         ResetReason,
     )
     from chicorypost.cookies._router import CookieRouter
-    from chicorypost.cookies._settings import CookieSettings
+    from chicorypost.cookies._settings import BalancingSettings, ColdStartLimits, CookieSettings
 
 __all__ = [
+    "BalancingSettings",
+    "ColdStartLimits",
     "CookiePacket",
     "CookieRouter",
     "CookieSettings",
@@ -34,6 +36,8 @@
 __getattr__ = import_lazily(
     __name__,
     {
+        "BalancingSettings": "_settings",
+        "ColdStartLimits": "_settings",
         "CookiePacket": "_packet",
         "CookieRouter": "_router",
         "CookieSettings": "_settings",
--- a/chicorypost/cookies/_router.py
+++ b/chicorypost/cookies/_router.py
@@ -42,7 +42,7 @@
     ForwardPacket,
     ResetReason,
 )
-from chicorypost.cookies._settings import CookieSettings
+from chicorypost.cookies._settings import BalancingSettings, ColdStartLimits, CookieSettings
 from chicorypost.cookies._suspects import SuspectedUpstreams
 from chicorypost.routing import NO_VERSION, Route, RoutingDocument
 
@@ -63,6 +63,10 @@
         Source of randomness.
     now : Instant
         Current time.
+    balancing : BalancingSettings, optional
+        Features that the deployment enables.
+    cold_start_limits : ColdStartLimits, optional
+        Limits for cold upstreams; None for no limits.
 
     Notes
     -----
@@ -73,9 +77,17 @@
     """
 
     def __init__(
-        self, settings: CookieSettings, data_centre: DataCentreId, random: Random, now: Instant
+        self,
+        settings: CookieSettings,
+        data_centre: DataCentreId,
+        random: Random,
+        now: Instant,
+        balancing: BalancingSettings = BalancingSettings(),  # noqa: B008 (immutable)
+        cold_start_limits: ColdStartLimits | None = None,
     ) -> None:
         self.settings = settings
+        self.balancing = balancing
+        self.cold_start_limits = cold_start_limits
         self.tracker = FlowTracker(settings)
         self.suspected_upstreams = SuspectedUpstreams(settings)
         self.chooser = FlowChooser(
--- a/chicorypost/cookies/_settings.py
+++ b/chicorypost/cookies/_settings.py
@@ -1,4 +1,4 @@
-"""Settings of the cookie router."""
+"""Settings of the cookie router, and of the features that a deployment enables."""
 
 from typing import Annotated
 
@@ -6,6 +6,9 @@
 
 from chicorypost.base import Bound
 
+MAX_REPEAT_SHARE = 0.2
+"""Upper bound of the extra work for repeats; more would overload a service that is half full."""
+
 
 class CookieSettings(msgspec.Struct, frozen=True):
     """Timeouts and weights of the cookie router.
@@ -72,3 +75,41 @@
     max_slowness: Annotated[float, Bound(ge=1)] = 8.0
     max_request_seconds: Annotated[float, Bound(gt=0)] = 4.0
     min_usual_seconds: Annotated[float, Bound(gt=0)] = 0.01
+
+
+class BalancingSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Features of the balancers that an operator enables in the settings file; all off by default.
+
+    Parameters
+    ----------
+    shared_observations : bool, default False
+        Whether balancers share which upstreams are unresponsive or slow.
+    shared_demand : bool, default False
+        Whether balancers share the demand of their data centres, and refuse flows by priority
+        when a service has too few slots.
+    repeat_share : float, default 0.0
+        Extra work allowed for repeats of stalled requests, as a share of the requests that may be
+        repeated, at most `MAX_REPEAT_SHARE`; 0 disables repeats.
+    repeat_after_ms : float, default 500.0
+        Milliseconds without an answer after which a request counts as stalled.
+    """
+
+    shared_observations: bool = False
+    shared_demand: bool = False
+    repeat_share: Annotated[float, msgspec.Meta(ge=0, le=MAX_REPEAT_SHARE)] = 0.0
+    repeat_after_ms: Annotated[float, msgspec.Meta(ge=50, le=60_000)] = 500.0
+
+
+class ColdStartLimits(msgspec.Struct, frozen=True):
+    """Limits of the flows that a cold upstream gets from all balancers together.
+
+    Parameters
+    ----------
+    rate_factor : float
+        Factor of the rate that a cold upstream of the service bears.
+    extra_flows : float
+        Flows a second that a cold upstream may get beyond that.
+    """
+
+    rate_factor: float
+    extra_flows: float
--- a/chicorypost/platform/_settings.py
+++ b/chicorypost/platform/_settings.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from chicorypost.base import DataCentreId, Endpoint, InstanceId
+from chicorypost.cookies import BalancingSettings, ColdStartLimits
 from chicorypost.platform._json import decode_json
 
 MAX_INTEGER = 2**63 - 1
@@ -23,6 +24,7 @@
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_CHARACTERS)]
 Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
 Seconds = Annotated[float, msgspec.Meta(ge=0, le=86_400)]
+Factor = Annotated[float, msgspec.Meta(ge=0, le=1_000_000)]
 
 
 class _Listen(msgspec.Struct):
@@ -45,6 +47,10 @@
 
 class _Bounds(msgspec.Struct):
     grace_s: Seconds = 6.0  # between the stop signal and the kill
+    # factor of the rate that a cold upstream bears
+    warmup_overage: Factor | None = None
+    # flows a second that a cold upstream may get beyond that
+    warmup_slack: Factor = 0.0
 
 
 class _SettingsFile(msgspec.Struct):
@@ -56,6 +62,7 @@
     listen: _Listen
     internal_ports: tuple[Port, Port]  # only the first is used: see NodeSettings.peer_port
     seeds: list[Any]  # addresses; other entries are left out
+    zones: dict[Name, Any] = msgspec.field(default_factory=dict)  # region of each data centre
     bootstrap: bool = False  # whether the system starts for the first time
     data_dir: str | None = None
     # how often upstreams announce themselves
@@ -105,6 +112,12 @@
         Number of descriptors that the process may have open; None if the settings file has none.
     ignored_seeds : tuple of str
         Entries of the list of seeds that aren't addresses, shortened for log lines.
+    data_centres : frozenset of DataCentreId
+        All data centres of the deployment; empty if the settings file doesn't list them.
+    cold_start_limits : ColdStartLimits or None
+        Limits for cold upstreams; None if the settings file has none.
+    balancing : BalancingSettings
+        Optional features of the balancers.
     """
 
     name: str
@@ -123,6 +136,16 @@
     link_bytes_per_second: float | None = None
     max_descriptors: int | None = None
     ignored_seeds: tuple[str, ...] = ()
+    data_centres: frozenset[DataCentreId] = frozenset()
+    cold_start_limits: ColdStartLimits | None = None
+    balancing: BalancingSettings = BalancingSettings()
+
+
+class _ExtendedFile(msgspec.Struct):
+    """The platform's file beside the features that the operator enables."""
+
+    node: _SettingsFile
+    balancing: BalancingSettings = BalancingSettings()
 
 
 class InvalidNodeSettings(msgspec.Struct, frozen=True):
@@ -149,7 +172,8 @@
     Parameters
     ----------
     data : bytes
-        Content of the file, in the format of `deploy/node.json`.
+        Content of the file, in the format of `deploy/node.json`: the platform's fields, or an
+        object with these in `node` and the optional features in `balancing`.
 
     Returns
     -------
@@ -158,7 +182,8 @@
         seeds that isn't an address is left out, and the others are used.
     """
     try:
-        file = decode_json(data, _SettingsFile)
+        extended = _decode_extended_file(data)
+        file = extended.node
         return NodeSettings(
             name=file.node_name,
             host=_read_field("ip", f"{file.ip}:{file.internal_ports[0]}").host,
@@ -176,11 +201,27 @@
             link_bytes_per_second=(file.limits.link_mbps or 0.0) * BYTES_PER_MEGABIT or None,
             max_descriptors=file.limits.max_fds,
             ignored_seeds=tuple(f"{seed!r:.60}" for seed in file.seeds if not _is_endpoint(seed)),
+            data_centres=frozenset(DataCentreId(name) for name in file.zones),
+            cold_start_limits=_read_cold_start_limits(file.bounds),
+            balancing=extended.balancing,
         )
     except ValueError as error:
         return InvalidNodeSettings(str(error))
 
 
+def _decode_extended_file(data: bytes) -> _ExtendedFile:
+    content = decode_json(data, dict[str, Any])
+    if "node" in content:
+        return decode_json(data, _ExtendedFile)
+    return _ExtendedFile(decode_json(data, _SettingsFile))
+
+
+def _read_cold_start_limits(bounds: _Bounds) -> ColdStartLimits | None:
+    if bounds.warmup_overage is None:
+        return None
+    return ColdStartLimits(bounds.warmup_overage, bounds.warmup_slack)
+
+
 def _read_optional_endpoint(name: str, text: str | None) -> Endpoint | None:
     return _read_field(name, text) if text else None
 
--- a/chicorypost/platform/tests/test_readers.py
+++ b/chicorypost/platform/tests/test_readers.py
@@ -16,7 +16,7 @@
     ListedUpstream,
 )
 from chicorypost.base import Endpoint, UpstreamId, Version, encode
-from chicorypost.cookies import CookiePacket
+from chicorypost.cookies import BalancingSettings, ColdStartLimits, CookiePacket
 from chicorypost.platform import (
     InvalidAnnouncement,
     InvalidNodeSettings,
@@ -364,6 +364,37 @@
     assert (node.lost_disks, node.announcement_seconds, node.founds) == (2, 0.77, True)
 
 
+def test_features_are_off_unless_the_settings_file_enables_them():
+    """Guards against features that change how a deployment is served that doesn't ask for them."""
+    node = read_node_settings(json.dumps(SETTINGS).encode())
+    assert isinstance(node, NodeSettings)
+    assert node.balancing == BalancingSettings()
+    assert node.cold_start_limits is None
+
+
+def test_an_extended_settings_file_holds_the_fields_of_the_platform_and_the_features():
+    """Guards against a file with features whose other fields are read from the wrong level."""
+    bounds = {"grace_s": 6, "warmup_overage": 1.5, "warmup_slack": 5}
+    platform = SETTINGS | {"bounds": bounds, "zones": {"sfx-a": "tn", "sfx-b": "tn"}}
+    content = {"node": platform, "balancing": {"repeat_share": 0.02}}
+    node = read_node_settings(json.dumps(content).encode())
+    assert isinstance(node, NodeSettings)
+    assert node.balancing == BalancingSettings(repeat_share=0.02)
+    assert node.cold_start_limits == ColdStartLimits(rate_factor=1.5, extra_flows=5.0)
+    assert node.data_centres == {"sfx-a", "sfx-b"}
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [("repeat_share", 0.3), ("repeat_after_ms", 0), ("shared_demand", 1), ("repeat_shares", 0.1)],
+)
+def test_an_invalid_feature_is_refused_by_its_name(name, value):
+    """Guards against a misspelt or impossible feature that is ignored without a word."""
+    read = read_node_settings(json.dumps({"node": SETTINGS, "balancing": {name: value}}).encode())
+    assert isinstance(read, InvalidNodeSettings)
+    assert name in read.detail
+
+
 def test_settings_of_another_deployment_are_decoded():
     """Fields that don't apply are null or missing, and figures may have fractions."""
     listen = {"control": "10.1.0.13:8166", "datagram_addr": None, "readiness_addr": None}
--- a/chicorypost/roles/_balancer_core.py
+++ b/chicorypost/roles/_balancer_core.py
@@ -46,7 +46,14 @@
         now = Instant(time.monotonic())
         announcements = AnnouncementSettings(interval_seconds=settings.announcement_seconds)
         self.view = DirectoryView(announcements, settings.seeds, now)
-        self.router = CookieRouter(CookieSettings(), settings.data_centre, Random(), now)
+        self.router = CookieRouter(
+            CookieSettings(),
+            settings.data_centre,
+            Random(),
+            now,
+            settings.balancing,
+            settings.cold_start_limits,
+        )
         self.packet_socket = open_packet_socket(settings.packets, SOCKET_BUFFER_BYTES)
         self.pacer = LinkPacer(PacingSettings(settings.link_bytes_per_second))
         self.forwarder = Forwarder(
