Evacuation of a data centre: calls, replicated state, feed and choice of upstreams

Cause: the calls Evacuation.Start and Evacuation.End got 404, and nothing could keep new flows away from a data centre.

Change: the replicated log carries evacuation commands beside configurations. A command has an effect only if the entry of the data centre still has the revision that its proposer had applied, and then gives it a new one, so a late command of a call that has timed out can't undo a later order. Feed pages hold the evacuated data centres; the router keeps their upstreams out of the candidates, and resets an opening that only they could serve.

--- a/chicorypost/announcements/_events.py
+++ b/chicorypost/announcements/_events.py
@@ -11,6 +11,14 @@
     "source",
     "field",
 )
+EVACUATIONS_IGNORED = define_event(
+    811,
+    "evacuations-ignored",
+    Level.ERROR,
+    "A control instance sent evacuated data centres with an impossible field; they are ignored.",
+    "peer",
+    "field",
+)
 ROUTING_CHANGE_UNUSABLE = define_event(
     800,
     "routing-change-unusable",
--- a/chicorypost/announcements/_feed.py
+++ b/chicorypost/announcements/_feed.py
@@ -15,6 +15,7 @@
 from chicorypost.announcements._settings import AnnouncementSettings
 from chicorypost.announcements._table import AnnouncementTable
 from chicorypost.base import Effect, InstanceId, Instant, Send, UpstreamId, Version
+from chicorypost.evacuation import NO_EVACUATIONS, Evacuations
 from chicorypost.routing import (
     NO_VERSION,
     RoutingChange,
@@ -82,6 +83,7 @@
         self.document: RoutingDocument | None = None
         self.document_changes: deque[RoutingChange] = deque(maxlen=KEPT_DOCUMENT_CHANGES)
         """The latest changes of the configuration, in order."""
+        self.evacuations = NO_EVACUATIONS
         self.is_complete = False
 
     def subscribe(
@@ -161,6 +163,11 @@
         self.version = document.version
         return self._send_pages(now)
 
+    def set_evacuations(self, evacuations: Evacuations, now: Instant) -> list[Effect]:
+        """Store the evacuated data centres and send them to every subscriber if they differ."""
+        previous, self.evacuations = self.evacuations, evacuations
+        return self._send_pages(now) if evacuations.data_centres != previous.data_centres else []
+
     def send_document(self, sender: InstanceId, held_version: Version) -> list[Effect]:
         """Send the newest configuration to a balancer, or its difference from the one held."""
         if self.document is None:
@@ -209,4 +216,5 @@
             self.controls,
             self.version,
             since,
+            self.evacuations,
         )
--- a/chicorypost/announcements/_messages.py
+++ b/chicorypost/announcements/_messages.py
@@ -2,6 +2,7 @@
 
 from chicorypost.announcements._records import ListedUpstream
 from chicorypost.base import InstanceId, Message, Record, UpstreamId, Version
+from chicorypost.evacuation import Evacuations
 from chicorypost.routing import NO_VERSION, RoutingChange, RoutingDocument
 
 
@@ -82,6 +83,9 @@
     since : int or None
         Position from which the page continues; None in messages of earlier builds, which continue
         from the position before.
+    evacuations : Evacuations or None
+        The evacuated data centres as the sender has applied them; None in messages of earlier
+        builds.
     """
 
     feed_id: int
@@ -92,6 +96,7 @@
     controls: tuple[InstanceId, ...]
     version: Version
     since: int | None = None
+    evacuations: Evacuations | None = None
 
 
 class DocumentRequest(Message, frozen=True, array_like=True, tag=812):
--- a/chicorypost/announcements/_records.py
+++ b/chicorypost/announcements/_records.py
@@ -14,6 +14,7 @@
     ServiceId,
     UpstreamId,
 )
+from chicorypost.evacuation import Evacuations
 from chicorypost.routing import RoutingDocument
 
 
@@ -160,6 +161,12 @@
     document: RoutingDocument
 
 
+class EvacuationsChanged(Event, msgspec.Struct, frozen=True):
+    """This control instance has applied an order about the evacuation of a data centre."""
+
+    evacuations: Evacuations
+
+
 class PeerConnected(Event, msgspec.Struct, frozen=True):
     """A connection to an instance was opened; messages sent before that may be lost."""
 
--- a/chicorypost/announcements/_registry.py
+++ b/chicorypost/announcements/_registry.py
@@ -19,6 +19,7 @@
 from chicorypost.announcements._records import (
     AnnouncedStatus,
     AnnouncementOutcome,
+    EvacuationsChanged,
     LeaveNotice,
     ListedUpstream,
     PeerConnected,
@@ -128,6 +129,8 @@
                 self._record_save(change_number)
             case VersionApplied(document):
                 self.effects += self.feed.set_document(document, now)
+            case EvacuationsChanged(evacuations):
+                self.effects += self.feed.set_evacuations(evacuations, now)
             case Tick():
                 self._check_deadlines(now)
             case _:
--- a/chicorypost/announcements/_view.py
+++ b/chicorypost/announcements/_view.py
@@ -34,6 +34,7 @@
     UpstreamId,
     Version,
 )
+from chicorypost.evacuation import NO_EVACUATIONS, Evacuations, find_evacuations_fault
 from chicorypost.routing import NO_VERSION, RoutingChange, RoutingDocument, apply_change
 
 DOCUMENT_TIMEOUT_SECONDS = 0.4
@@ -66,6 +67,12 @@
     document: RoutingDocument
 
 
+class EvacuationsApplied(Event, Effect, msgspec.Struct, frozen=True):
+    """The evacuated data centres have changed."""
+
+    evacuations: Evacuations
+
+
 class ControlsChanged(Effect, msgspec.Struct, frozen=True):
     """The control instances to stay connected to."""
 
@@ -110,7 +117,8 @@
     -----
     The latest call of an upstream over all feeds counts. An upstream is silent when no connected
     control instance lists it as reachable and at least one of them has a complete table. Without
-    any connection the view doesn't change. The configuration version never decreases.
+    any connection the view doesn't change. The configuration version never decreases, nor does the
+    revision of the evacuations: a control instance that has just restarted may be behind.
     """
 
     def __init__(
@@ -121,6 +129,7 @@
         self.feeds: dict[InstanceId, ControlFeed] = {}
         self.upstreams: dict[UpstreamId, VisibleUpstream] = {}
         self.unusable_since: dict[UpstreamId, Instant] = {}
+        self.evacuations = NO_EVACUATIONS
         self.document: RoutingDocument | None = None
         self.document_source: InstanceId | None = None
         self.document_deadline = now
@@ -188,6 +197,10 @@
         """Return the complete decision state as JSON-compatible values."""
         return {
             "version": self.version,
+            "evacuations": {
+                "revision": self.evacuations.revision,
+                "data_centres": list(self.evacuations.data_centres),
+            },
             "controls": {
                 name: {
                     "connected": feed.is_connected,
@@ -215,6 +228,7 @@
             self.document_source = None
 
     def _apply_page(self, sender: InstanceId, page: FeedPage, now: Instant) -> None:
+        self._apply_evacuations(sender, page.evacuations)
         feed = self.feeds.setdefault(sender, ControlFeed())
         if not page.is_full and not _continues(page, feed):
             # A page was missed, so request the full table.
@@ -235,6 +249,19 @@
             changed = set(self.upstreams) | changed
         self._update_upstreams(changed, now)
 
+    def _apply_evacuations(self, sender: InstanceId, evacuations: Evacuations | None) -> None:
+        """Apply the evacuated data centres, which each page holds in full, if they are newer."""
+        if evacuations is None or evacuations.revision <= self.evacuations.revision:
+            return
+        field = find_evacuations_fault(evacuations)
+        if field is not None:
+            ignored = _events.EVACUATIONS_IGNORED.emit(peer=sender, field=field)
+            self.effects.append(ignored)
+            return
+        previous, self.evacuations = self.evacuations, evacuations
+        if evacuations.data_centres != previous.data_centres:
+            self.effects.append(EvacuationsApplied(evacuations))
+
     def _update_upstreams(self, names: set[UpstreamId], now: Instant) -> None:
         """Recompute some upstreams; emit `VisibleUpstreamsChanged` if any has changed."""
         changed = []
--- a/chicorypost/cookies/_index.py
+++ b/chicorypost/cookies/_index.py
@@ -34,6 +34,10 @@
         """Decisions for packets of open flows, built once instead of for each packet."""
         self.users_by_cookie: dict[int, list[UpstreamId]] = {}
         self.upstream_counts: Counter[DataCentreId] = Counter()
+        self.evacuated: frozenset[DataCentreId] = frozenset()
+        """Data centres that get no new flows."""
+        self.withheld: dict[ServiceId, ServiceCandidates] = {}
+        """Upstreams that would be candidates if their data centres weren't evacuated."""
         self.left_out: set[UpstreamId] = set()
         """Upstreams that get no flows because an earlier one has the same cookie."""
 
@@ -73,6 +77,19 @@
             self._assign_cookie(cookie)
         return self.left_out - previously_left_out
 
+    def set_evacuated(self, data_centres: frozenset[DataCentreId]) -> None:
+        """Set the data centres that get no new flows; the flows that are open stay."""
+        changed = self.evacuated ^ data_centres
+        self.evacuated = data_centres
+        for cookie, names in self.users_by_cookie.items():
+            users = [self.upstreams[name].announcement.data_centre for name in names]
+            if not changed.isdisjoint(users):
+                self._assign_cookie(cookie)
+
+    def is_evacuated(self, item: VisibleUpstream) -> bool:
+        """Return whether the data centre of an upstream is evacuated."""
+        return item.announcement.data_centre in self.evacuated
+
     def is_cookie_owner(self, name: UpstreamId) -> bool:
         """Return whether packets with the cookie of a known upstream are forwarded to it."""
         cookie = make_cookie(self.upstreams[name].announcement.endpoint)
@@ -115,18 +132,19 @@
                 continue
             if item.announcement.upstream == owner.upstream:
                 service = item.announcement.service
-                self.candidates.setdefault(service, ServiceCandidates()).add(item)
+                group = self.withheld if self.is_evacuated(item) else self.candidates
+                group.setdefault(service, ServiceCandidates()).add(item)
             elif item.announcement.endpoint != owner.endpoint:
                 self.left_out.add(item.announcement.upstream)
 
     def _remove_candidate(self, item: VisibleUpstream) -> None:
         service = item.announcement.service
-        candidates = self.candidates.get(service)
-        if candidates is None:
-            return
-        candidates.remove(item)
-        if not candidates:
-            del self.candidates[service]
+        for group in (self.candidates, self.withheld):
+            candidates = group.get(service)
+            if candidates is not None:
+                candidates.remove(item)
+                if not candidates:
+                    del group[service]
 
 
 def _find_cookie_owner(users: list[VisibleUpstream]) -> VisibleUpstream:
--- a/chicorypost/cookies/_packet.py
+++ b/chicorypost/cookies/_packet.py
@@ -63,6 +63,8 @@
     NO_UPSTREAM = "no-upstream"
     """No upstream of the service accepts new flows."""
     UPSTREAM_GONE = "upstream-gone"
+    EVACUATED = "evacuated"
+    """The data centres of all upstreams that accept new flows of the service are evacuated."""
 
 
 class ForwardPacket(msgspec.Struct, frozen=True):
--- a/chicorypost/cookies/_router.py
+++ b/chicorypost/cookies/_router.py
@@ -6,6 +6,7 @@
 
 from chicorypost.announcements import (
     AnnouncedStatus,
+    EvacuationsApplied,
     RoutingApplied,
     VisibleUpstream,
     VisibleUpstreamsChanged,
@@ -112,6 +113,8 @@
                 self.routes = {route.address: route for route in document.routes}
             case VisibleUpstreamsChanged(changed, removed):
                 self._update_upstreams(changed, removed, now)
+            case EvacuationsApplied(evacuations):
+                self.index.set_evacuated(frozenset(evacuations.data_centres))
             case Tick():
                 self.next_expiry_at = Instant(now + EXPIRY_INTERVAL_SECONDS)
                 idle_seconds = self.settings.flow_idle_seconds
@@ -147,6 +150,7 @@
                 if entry.suspicion_count
             },
             "slowness": dict(self.tracker.response_times.slowness),
+            "evacuated": sorted(self.index.evacuated),
             "counters": self.count_packets(),
         }
 
@@ -192,11 +196,17 @@
         return sum(len(self.index.candidates.get(service, ())) for service in services)
 
     def find_unreachable_service(self) -> ServiceId | None:
-        """Return a service whose upstreams are all silent or unresponsive, if any."""
+        """Return a service whose upstreams are all silent or unresponsive, if any.
+
+        Evacuated upstreams count as well, so that an evacuation changes nothing here.
+        """
         for service, candidates in self.index.candidates.items():
+            withheld = self.index.withheld.get(service)
+            reachable = candidates.list_reachable()
+            reachable += withheld.list_reachable() if withheld is not None else []
             if all(
                 self.suspected_upstreams.is_unresponsive(item.announcement.upstream)
-                for item in candidates.list_reachable()
+                for item in reachable
             ):
                 return service
         return None
@@ -253,7 +263,10 @@
                 else None
             )
             if chosen is None:
-                return self._reset(ResetReason.NO_UPSTREAM)
+                is_evacuated = service in self.index.withheld
+                return self._reset(
+                    ResetReason.EVACUATED if is_evacuated else ResetReason.NO_UPSTREAM
+                )
             self.tracker.record_opening(packet.flow, chosen.announcement.upstream, now)
         self.counters["opened"] += 1
         announcement = chosen.announcement
@@ -266,8 +279,8 @@
         """Return the upstream of an earlier copy of the opening, unless it won't answer any more.
 
         If two upstreams answered, the client would have the cookie of one and the sequence numbers
-        of the other, so a copy is moved only if its upstream is gone, silent, dead or overdue,
-        or if another upstream has its address.
+        of the other, so a copy is moved only if its upstream is gone, silent, dead or overdue, if
+        its data centre is evacuated, or if another upstream has its address.
         """
         state = self.tracker.flows.get(packet.flow)
         if state is None or not state.is_opening:
@@ -275,7 +288,7 @@
         chosen = self.upstreams.get(state.upstream)
         if chosen is None or chosen.announcement.status is AnnouncedStatus.GONE:
             return None
-        if not self.index.is_cookie_owner(state.upstream):
+        if not self.index.is_cookie_owner(state.upstream) or self.index.is_evacuated(chosen):
             return None
         if packet.ack_number > state.copies:
             state.copies = packet.ack_number
--- a/chicorypost/roles/_balancer.py
+++ b/chicorypost/roles/_balancer.py
@@ -7,7 +7,12 @@
 import trio
 
 from chicorypost import __version__
-from chicorypost.announcements import ControlsChanged, RoutingApplied, SeedsChanged
+from chicorypost.announcements import (
+    ControlsChanged,
+    EvacuationsApplied,
+    RoutingApplied,
+    SeedsChanged,
+)
 from chicorypost.base import Effect, Event, InstanceId, Message
 from chicorypost.daemons import Engine
 from chicorypost.daemons._events import STARTED
@@ -17,7 +22,7 @@
 from chicorypost.roles._admin import serve_admin
 from chicorypost.roles._balancer_core import BalancerCore
 from chicorypost.roles._event_log import EventLog
-from chicorypost.roles._events import NOT_READY, READY, ROUTING_APPLIED
+from chicorypost.roles._events import NOT_READY, READY
 from chicorypost.roles._process import make_peer_network
 from chicorypost.roles._settings_file import watch_settings
 
@@ -66,8 +71,8 @@
         match effect:
             case ControlsChanged(controls):
                 self._update_control_links(controls)
-            case RoutingApplied(document):
-                self.event_log.emit(ROUTING_APPLIED.emit(version=document.version))
+            case RoutingApplied() | EvacuationsApplied():
+                self.core.log_applied(effect)
             case Event():
                 pass
             case _:
@@ -173,6 +178,7 @@
             },
             lambda: {
                 "configuration_version": self.router.version,
+                "evacuated_data_centres": len(self.view.evacuations.data_centres),
                 "flows": len(tracker.flows),
                 "upstreams": len(self.router.upstreams),
                 "link_waiting_seconds": self.core.pacer.waiting_seconds,
--- a/chicorypost/roles/_balancer_core.py
+++ b/chicorypost/roles/_balancer_core.py
@@ -7,18 +7,20 @@
     VIEW_MESSAGES,
     AnnouncementSettings,
     DirectoryView,
+    EvacuationsApplied,
     PeerConnected,
     PeerDisconnected,
     RoutingApplied,
     SeedsChanged,
     VisibleUpstreamsChanged,
 )
-from chicorypost.base import Endpoint, Incarnation, InstanceId, Instant
+from chicorypost.base import Effect, Endpoint, Incarnation, InstanceId, Instant
 from chicorypost.cookies import CookieRouter, CookieSettings
 from chicorypost.daemons import EventDispatcher, Registration
 from chicorypost.pacing import LinkPacer, PacingSettings
 from chicorypost.platform import NodeSettings
 from chicorypost.roles._event_log import EventLog
+from chicorypost.roles._events import EVACUATIONS_APPLIED, ROUTING_APPLIED
 from chicorypost.roles._forwarding import Forwarder
 from chicorypost.transport import NOT_LISTENING_PORT, ConnectionHello, open_packet_socket
 from chicorypost.transport._events import UNEXPECTED_ERROR
@@ -70,7 +72,7 @@
         """Register the state machines with a dispatcher."""
         events = (PeerConnected, PeerDisconnected, SeedsChanged)
         dispatcher.register(Registration("view", self.view, VIEW_MESSAGES, events, True))
-        flow_events = (RoutingApplied, VisibleUpstreamsChanged)
+        flow_events = (RoutingApplied, VisibleUpstreamsChanged, EvacuationsApplied)
         dispatcher.register(Registration("flows", self.router, (), flow_events, True))
 
     def forward_batch(self, dispatcher: EventDispatcher) -> None:
@@ -85,6 +87,18 @@
         if self.router.effects:
             dispatcher.execute_effects(self.router.pop_effects())
 
+    def log_applied(self, effect: Effect) -> None:
+        """Log an effect that says which configuration or evacuations were applied."""
+        match effect:
+            case RoutingApplied(document):
+                self.event_log.emit(ROUTING_APPLIED.emit(version=document.version))
+            case EvacuationsApplied(evacuations):
+                names = ", ".join(evacuations.data_centres)
+                applied = EVACUATIONS_APPLIED.emit(
+                    revision=evacuations.revision, data_centres=names
+                )
+                self.event_log.emit(applied)
+
     def missing_prerequisite(self) -> str:
         """Return what is missing to serve, or an empty string if nothing is."""
         if self.view.document is None:
--- a/chicorypost/roles/_control.py
+++ b/chicorypost/roles/_control.py
@@ -15,6 +15,7 @@
     REGISTRY_MESSAGES,
     AnnouncementRegistry,
     AnnouncementSettings,
+    EvacuationsChanged,
     ListedUpstream,
     PeerConnected,
     PeerDisconnected,
@@ -26,7 +27,7 @@
     UpstreamCallReceived,
     VersionApplied,
 )
-from chicorypost.base import Effect, Endpoint, Event, Incarnation, InstanceId, Message
+from chicorypost.base import Effect, Endpoint, Event, Incarnation, InstanceId, LogIndex, Message
 from chicorypost.consensus import (
     Apply,
     ChangeMembership,
@@ -46,13 +47,28 @@
 from chicorypost.daemons import Engine, Registration, message_types_in
 from chicorypost.daemons._events import STARTED
 from chicorypost.daemons._stop import StopControl
+from chicorypost.evacuation import (
+    NO_EVACUATIONS,
+    EvacuationState,
+    UnreadableOrder,
+    is_evacuation_command,
+    make_control_snapshot,
+    read_evacuation_snapshot,
+)
 from chicorypost.metrics import PlainMetrics
 from chicorypost.platform import NodeSettings, read_configuration
 from chicorypost.roles._admin import serve_admin
 from chicorypost.roles._announcement_table_file import AnnouncementTableFile
-from chicorypost.roles._control_calls import ControlCallHandler
+from chicorypost.roles._control_calls import LOG_TIMEOUT_SECONDS, ControlCallHandler
+from chicorypost.roles._evacuation_calls import EvacuationCallHandler
 from chicorypost.roles._event_log import EventLog
-from chicorypost.roles._events import MEMBERSHIP_REPAIR, ROUTING_APPLIED, ROUTING_UNREADABLE
+from chicorypost.roles._events import (
+    EVACUATIONS_APPLIED,
+    EVACUATIONS_UNREADABLE,
+    MEMBERSHIP_REPAIR,
+    ROUTING_APPLIED,
+    ROUTING_UNREADABLE,
+)
 from chicorypost.roles._pending_outcomes import PendingOutcomes
 from chicorypost.roles._process import make_peer_network
 from chicorypost.roles._replica_host import (
@@ -107,6 +123,8 @@
         self.engine = Engine(self._send, event_log.emit, self._execute)
         self.stop_control = StopControl(DRAIN_TIMEOUT_SECONDS, event_log.emit)
         self.routing_state = RoutingState(read_configuration)
+        self.evacuation_state = EvacuationState()
+        self.published_evacuations = NO_EVACUATIONS
         self.pending_outcomes = PendingOutcomes(self.engine)
         random = Random()
         self.replica_host = ReplicaHost(_replica_settings(settings), self.instance, random)
@@ -128,8 +146,20 @@
             Endpoint(settings.host, settings.peer_port),
         )
         self.network = make_peer_network(settings, hello, self.engine, event_log)
+        self.evacuation_calls = EvacuationCallHandler(
+            self.evacuation_state,
+            self.pending_outcomes,
+            event_log,
+            settings.data_centres,
+            LOG_TIMEOUT_SECONDS,
+        )
         self.call_handler = ControlCallHandler(
-            self.instance, self.replica_host, self.routing_state, self.pending_outcomes, event_log
+            self.instance,
+            self.replica_host,
+            self.routing_state,
+            self.pending_outcomes,
+            event_log,
+            self.evacuation_calls,
         )
         self.http_server = self._make_http_server()
 
@@ -144,6 +174,7 @@
             PeerConnected,
             PeerDisconnected,
             VersionApplied,
+            EvacuationsChanged,
             TableRestored,
             TableSaved,
         )
@@ -170,12 +201,14 @@
                 self.disk_writer.queue_write(effect)
             case RecoverReplica():
                 self.disk_writer.request_recovery()
+            case Apply(index=index, command=command) if is_evacuation_command(command):
+                self._apply_order(index, command)
             case Apply(command=command):
                 self._publish_version(self.routing_state.apply(command))
             case RestoreSnapshot(data=data):
-                self._publish_version(self.routing_state.restore(data))
+                self._restore_snapshot(data)
             case TakeSnapshot(index=index):
-                self.engine.post(SnapshotTaken(index, self.routing_state.snapshot()))
+                self._take_snapshot(index)
             case ProposalAccepted(proposal_id=request_id) | ProposalRefused(proposal_id=request_id):
                 self.pending_outcomes.deliver_outcome(request_id, effect)
             case ReadReady(read_id=request_id) | ReadRefused(read_id=request_id):
@@ -195,6 +228,47 @@
     def _report_save(self, change_number: int) -> None:
         self.engine.post(TableSaved(change_number))
 
+    def _apply_order(self, index: LogIndex, command: bytes) -> None:
+        applied = self.evacuation_state.apply(command)
+        if isinstance(applied, UnreadableOrder):
+            self.event_log.emit(EVACUATIONS_UNREADABLE.emit(reason=applied.detail))
+            return
+        self.pending_outcomes.deliver_outcome(applied.order_id, applied)
+        if self._publish_evacuations():
+            # After a restart of all instances the log is applied only up to the last entry that the
+            # disk shows as committed, until there is a leader. The snapshot shows this one.
+            self._take_snapshot(index)
+
+    def _take_snapshot(self, index: LogIndex) -> None:
+        stored, evacuations = self.routing_state.stored, self.evacuation_state.snapshot()
+        self.engine.post(SnapshotTaken(index, make_control_snapshot(stored, evacuations)))
+
+    def _restore_snapshot(self, data: bytes) -> None:
+        """Restore both states; evacuations first, since balancers serve with a configuration."""
+        try:
+            evacuations = read_evacuation_snapshot(data)
+        except ValueError as error:
+            self.event_log.emit(EVACUATIONS_UNREADABLE.emit(reason=str(error)))
+            evacuations = None
+        if evacuations is not None:
+            self.evacuation_state.restore(evacuations)
+            self._publish_evacuations()
+        self._publish_version(self.routing_state.restore(data))
+
+    def _publish_evacuations(self) -> bool:
+        """Send the evacuated data centres to the balancers; return whether they have changed."""
+        previous, evacuations = self.published_evacuations, self.evacuation_state.evacuations
+        if evacuations.revision == previous.revision:
+            return False
+        self.published_evacuations = evacuations
+        self.engine.post(EvacuationsChanged(evacuations))
+        if evacuations.data_centres == previous.data_centres:
+            return False
+        names = ", ".join(evacuations.data_centres)
+        applied = EVACUATIONS_APPLIED.emit(revision=evacuations.revision, data_centres=names)
+        self.event_log.emit(applied)
+        return True
+
     def _publish_version(self, has_changed: bool) -> None:
         state = self.routing_state
         if state.unreadable is not None:
@@ -206,7 +280,16 @@
 
     def dump(self) -> dict[str, Any]:
         """Return the state of all state machines of this process."""
-        return {"id": self.instance, "version": self.routing_state.version, **self.engine.dump()}
+        evacuations = self.evacuation_state.evacuations
+        return {
+            "id": self.instance,
+            "version": self.routing_state.version,
+            "evacuations": {
+                "revision": evacuations.revision,
+                "data_centres": list(evacuations.data_centres),
+            },
+            **self.engine.dump(),
+        }
 
     def unready_reason(self) -> str:
         """Return why this instance can't serve operators, or an empty string."""
@@ -221,6 +304,7 @@
             lambda: {"events": self.event_log.counts_by_name()},
             lambda: {
                 "configuration_version": self.routing_state.version,
+                "evacuated_data_centres": len(self.published_evacuations.data_centres),
                 "leading": float(self.is_leading()),
                 "disk_refuses": float(self.replica_host.replica is None),
                 "upstreams": len(self.registry.table.entries),
@@ -270,6 +354,7 @@
 
     def _apply_settings(self, settings: NodeSettings) -> None:
         self.settings = settings
+        self.evacuation_calls.data_centres = settings.data_centres
         self.engine.post(ContactsChanged(settings.seeds))
 
     async def _repair_membership(self) -> None:
--- a/chicorypost/roles/_control_calls.py
+++ b/chicorypost/roles/_control_calls.py
@@ -20,6 +20,7 @@
 from chicorypost.metrics import PlainHistogram
 from chicorypost.platform import (
     AnnounceCall,
+    EvacuationCall,
     InvalidAnnouncement,
     LeaveCall,
     SimpleCall,
@@ -34,6 +35,7 @@
     read_configuration,
     read_leave_notice,
 )
+from chicorypost.roles._evacuation_calls import EvacuationCallHandler
 from chicorypost.roles._event_log import EventLog
 from chicorypost.roles._events import (
     CONFIGURATION_ACCEPTED,
@@ -69,6 +71,8 @@
         Posts events to the state machines and waits for the effects that complete them.
     event_log : EventLog
         Receives log events.
+    evacuation_calls : EvacuationCallHandler
+        Handles the calls about evacuations.
     """
 
     def __init__(
@@ -78,12 +82,14 @@
         routing_state: RoutingState,
         pending_outcomes: PendingOutcomes,
         event_log: EventLog,
+        evacuation_calls: EvacuationCallHandler,
     ) -> None:
         self.instance = instance
         self.replica_host = replica_host
         self.routing_state = routing_state
         self.pending_outcomes = pending_outcomes
         self.event_log = event_log
+        self.evacuation_calls = evacuation_calls
         self.call_seconds = PlainHistogram()
 
     def handle(
@@ -119,6 +125,10 @@
                 return self._put_configuration(request)
             case SimpleCall.GET_CONFIGURATION:
                 return self._get_configuration(request)
+            case EvacuationCall() as call:
+                return self._redirect_without(self.evacuation_calls.order(call), request)
+            case SimpleCall.GET_EVACUATIONS:
+                return self._redirect_without(self.evacuation_calls.show(), request)
             case _:
                 return make_not_found_response()
 
@@ -195,6 +205,13 @@
             return make_unavailable_response("no configuration yet")
         return make_document_response(self.routing_state.stored.original)
 
+    async def _redirect_without(
+        self, awaitable: Awaitable[HttpServerResponse | None], request: HttpServerRequest
+    ) -> HttpServerResponse:
+        """Return a response, or redirect the caller if there is none."""
+        response = await awaitable
+        return response if response is not None else self._redirect_to_leader(request)
+
     def _redirect_to_leader(self, request: HttpServerRequest) -> HttpServerResponse:
         """Redirect the caller to the leader, or return 503 if no other leader is known."""
         leader = self.replica_host.replica.leader if self.replica_host.replica is not None else None
--- a/chicorypost/roles/_events.py
+++ b/chicorypost/roles/_events.py
@@ -84,6 +84,36 @@
     "version",
     "reason",
 )
+EVACUATION_ACCEPTED = define_event(
+    58,
+    "evacuation-accepted",
+    Level.WARNING,
+    "An operator's order to start or end an evacuation is stored on a quorum.",
+    "data_centre",
+    "evacuated",
+)
+EVACUATION_REFUSED = define_event(
+    59,
+    "evacuation-refused",
+    Level.WARNING,
+    "An operator's order to start or end an evacuation is invalid; it was rejected.",
+    "reason",
+)
+EVACUATIONS_APPLIED = define_event(
+    60,
+    "evacuations-applied",
+    Level.WARNING,
+    "The evacuated data centres have changed on this instance; they get no new flows.",
+    "revision",
+    "data_centres",
+)
+EVACUATIONS_UNREADABLE = define_event(
+    61,
+    "evacuations-unreadable",
+    Level.ERROR,
+    "This build can't read an order about an evacuation in the log, or its state in a snapshot.",
+    "reason",
+)
 MEMBERSHIP_REPAIR = define_event(
     49,
     "membership-repair",
--- a/chicorypost/roles/_pending_outcomes.py
+++ b/chicorypost/roles/_pending_outcomes.py
@@ -58,8 +58,12 @@
         return effect if effect is not None else await self.wait(request_id, timeout_seconds)
 
     def deliver_outcome(self, request_id: str, effect: Any) -> None:
-        """Deliver an effect to the waiting caller; drop it if the caller has timed out."""
+        """Deliver an effect to the waiting caller; drop it if the caller has timed out.
+
+        The first effect counts: the application of a command tells more than the acceptance of its
+        proposal, which follows it.
+        """
         pending = self.pending_by_id.get(request_id)
-        if pending is not None:
+        if pending is not None and pending.effect is None:
             pending.effect = effect
             pending.arrived.set()
--- a/chicorypost/roles/_startup_balancer.py
+++ b/chicorypost/roles/_startup_balancer.py
@@ -16,13 +16,12 @@
 
 import msgspec
 
-from chicorypost.announcements import PeerConnected, PeerDisconnected, RoutingApplied
-from chicorypost.base import Effect, Event, InstanceId, Instant, Message, Undecodable
+from chicorypost.announcements import PeerConnected, PeerDisconnected
+from chicorypost.base import Effect, InstanceId, Instant, Message, Undecodable
 from chicorypost.daemons import EventDispatcher
 from chicorypost.platform import NodeSettings, read_endpoint
 from chicorypost.roles._balancer_core import BalancerCore
 from chicorypost.roles._event_log import EventLog
-from chicorypost.roles._events import ROUTING_APPLIED
 from chicorypost.transport import FrameBuffer, encode_frame
 from chicorypost.transport._events import PEER_CONNECTED, PEER_LOST
 
@@ -228,14 +227,8 @@
                 connection.queue_message(message)
 
     def _execute(self, effect: Effect) -> None:
-        match effect:
-            case RoutingApplied(document):
-                self.event_log.emit(ROUTING_APPLIED.emit(version=document.version))
-            case Event():
-                pass
-            # Only the role connects to all control instances of the view; here the seeds suffice.
-            case _:
-                pass
+        # Only the role connects to all control instances of the view; here the seeds suffice.
+        self.core.log_applied(effect)
 
 
 def _make_seed_connections(settings: NodeSettings, hello_frame: bytes) -> list[SeedConnection]:
--- a/chicorypost/roles/tests/test_control_calls.py
+++ b/chicorypost/roles/tests/test_control_calls.py
@@ -26,9 +26,11 @@
     ReadReady,
     ReadRefused,
 )
+from chicorypost.evacuation import EvacuationState
 from chicorypost.platform import read_configuration
 from chicorypost.platform.tests.test_readers import ANNOUNCEMENT, CONFIGURATION
-from chicorypost.roles._control_calls import ControlCallHandler
+from chicorypost.roles._control_calls import LOG_TIMEOUT_SECONDS, ControlCallHandler
+from chicorypost.roles._evacuation_calls import EvacuationCallHandler
 from chicorypost.roles._pending_outcomes import PendingOutcomes
 from chicorypost.routing import RoutingState
 from chicorypost.transport import HttpServerRequest, HttpServerResponse
@@ -47,12 +49,18 @@
         self.registry = AnnouncementRegistry(AnnouncementSettings(), 1, Instant(0.0))
         self.outcomes = PendingOutcomes(self)  # type: ignore[arg-type]
         replica = SimpleNamespace(leader=LEADER)
+        event_log: Any = SimpleNamespace(emit=lambda event: None)
+        self.evacuation_state = EvacuationState()
+        self.evacuation_calls = EvacuationCallHandler(
+            self.evacuation_state, self.outcomes, event_log, frozenset(), LOG_TIMEOUT_SECONDS
+        )
         self.handler = ControlCallHandler(
             InstanceId("10.0.0.1:80"),
             SimpleNamespace(replica=replica),  # type: ignore[arg-type]
             self.routing_state,
             self.outcomes,
-            SimpleNamespace(emit=lambda event: None),  # type: ignore[arg-type]
+            event_log,
+            self.evacuation_calls,
         )
 
     def post(self, event):
--- a/chicorypost/roles/tests/test_unexpected_errors.py
+++ b/chicorypost/roles/tests/test_unexpected_errors.py
@@ -14,6 +14,7 @@
 )
 from chicorypost.base import InstanceId, Instant, Message, Version
 from chicorypost.daemons import EventDispatcher, Registration, message_types_in
+from chicorypost.evacuation import NO_EVACUATIONS
 from chicorypost.events import Emit
 from chicorypost.roles._event_log import EventLog
 from chicorypost.roles.tests.test_startup_balancer import StartupScenario
@@ -39,12 +40,15 @@
         "bool": False,
         "RoutingDocument": EMPTY_DOCUMENT,
         "RoutingChange": EMPTY_CHANGE,
+        "Evacuations": NO_EVACUATIONS,
     }
-    fields = [
-        values.get(str(getattr(field.type, "__name__", field.type)).split("[")[0], 0)
+    names = [
+        str(getattr(field.type, "__name__", field.type)).split("[")[0]
         for field in msgspec.structs.fields(message_type)
     ]
-    return message_type(*fields)
+    # Optional fields are written with the module of their type: `module.Type | None`.
+    short_names = [name.removesuffix(" | None").rpartition(".")[2] for name in names]
+    return message_type(*[values.get(name, 0) for name in short_names])
 
 
 @pytest.mark.parametrize("message_type", message_types_in(range(800, 900)))
