Evacuation: operators' command, tests, and the order of a caller that is gone

Cause: the state could be changed only by raw calls. A request that a cut has held up is carried out after a later order, since an order has no number. A control instance whose revision alone had changed sent no page, so a balancer that had just started took the older state of another instance.

Change: chicorypost evacuation start, end and show; the operators' client follows a redirect to the leader. An order is proposed 0.1 s after it has arrived; the server cancels the call if its caller closes the connection meanwhile. Pages are sent for each new revision.

--- a/chicorypost/announcements/_feed.py
+++ b/chicorypost/announcements/_feed.py
@@ -164,9 +164,13 @@
         return self._send_pages(now)
 
     def set_evacuations(self, evacuations: Evacuations, now: Instant) -> list[Effect]:
-        """Store the evacuated data centres and send them to every subscriber if they differ."""
-        previous, self.evacuations = self.evacuations, evacuations
-        return self._send_pages(now) if evacuations.data_centres != previous.data_centres else []
+        """Store the evacuated data centres and send them to every subscriber.
+
+        They are sent also if only the revision has changed: it makes balancers ignore the older
+        state of another control instance.
+        """
+        self.evacuations = evacuations
+        return self._send_pages(now)
 
     def send_document(self, sender: InstanceId, held_version: Version) -> list[Effect]:
         """Send the newest configuration to a balancer, or its difference from the one held."""
--- a/chicorypost/announcements/tests/test_random_messages.py
+++ b/chicorypost/announcements/tests/test_random_messages.py
@@ -18,6 +18,7 @@
 from chicorypost.announcements.tests.network import SETTINGS
 from chicorypost.announcements.tests.test_table import announce
 from chicorypost.base import InstanceId, Instant, Received, Send, Tick, UpstreamId, Version
+from chicorypost.evacuation import Evacuations
 from chicorypost.routing import RoutingChange
 from chicorypost.routing.tests.test_change import SERVICES, make_document
 
@@ -66,6 +67,7 @@
     st.lists(st.sampled_from(PEERS)).map(tuple),
     versions,
     st.none() | numbers,
+    st.none() | st.builds(Evacuations, numbers, st.lists(st.text(max_size=2)).map(tuple)),
 )
 to_balancers = st.one_of(
     pages, st.builds(DocumentReply, documents), st.builds(DocumentChanged, changes)
--- a/chicorypost/commands/_client.py
+++ b/chicorypost/commands/_client.py
@@ -29,6 +29,8 @@
 TOTAL_TIMEOUT_SECONDS = 20.0
 ROUND_PAUSE_SECONDS = 0.2
 SCHEMES = ("http", "https")
+REDIRECT_STATUS = 307
+"""An instance on the users' platform that isn't the leader refers to the leader."""
 RETRIED_STATUSES = frozenset({503, 504})
 
 
@@ -117,7 +119,7 @@
         return None
 
     async def _attempt(
-        self, endpoint: Endpoint, request: ExchangeRequest
+        self, endpoint: Endpoint, request: ExchangeRequest, follows_redirect: bool = True
     ) -> ExchangeResponse | None:
         name = f"{endpoint.host}:{endpoint.port}"
         result: Any = None
@@ -134,6 +136,12 @@
             self.has_unknown_attempt = self.has_unknown_attempt or result.status == 504
             self.failures[name] = format_problem(result)
             return None
+        if result.status == REDIRECT_STATUS:
+            leader = _read_redirect(result)
+            self.failures[name] = f"refers to {leader.host if leader else 'no valid URL'}"
+            if leader is None or not follows_redirect:
+                return None
+            return await self._attempt(leader, request, follows_redirect=False)
         return result
 
 
@@ -148,7 +156,8 @@
     """Return the problem details of a response as text."""
     try:
         body = json.loads(response.body)
-        lines = [body["title"]]
+        # Instances on the users' platform return the problem in one field.
+        lines = [body["title"] if "title" in body else body["error"]]
     except (ValueError, KeyError, TypeError):
         return f"HTTP status {response.status}"
     if body.get("leader"):
@@ -159,6 +168,14 @@
     return "\n".join(lines)
 
 
+def _read_redirect(response: ExchangeResponse) -> Endpoint | None:
+    """Return the instance to which a response refers, or None if it isn't a valid URL."""
+    try:
+        return _parse_url(response.header("location") or "")
+    except cappa.Exit:
+        return None
+
+
 def _parse_url(text: str) -> Endpoint:
     try:
         parts = urlsplit(text)
--- a/chicorypost/commands/_main.py
+++ b/chicorypost/commands/_main.py
@@ -8,6 +8,7 @@
 from chicorypost.commands._control import ControlCommand, MembersCommand
 from chicorypost.commands._daemons import BalancerCommand
 from chicorypost.commands._dump import DumpCommand
+from chicorypost.commands._evacuation import EvacuationGroup
 from chicorypost.commands._explain import ExplainCommand
 from chicorypost.commands._keys import KeysCommand
 from chicorypost.commands._settings import SettingsCommand
@@ -30,6 +31,7 @@
         BalancerCommand
         | ControlCommand
         | ConfigCommand
+        | EvacuationGroup
         | StatusCommand
         | MembersCommand
         | DumpCommand
--- a/chicorypost/cookies/_router.py
+++ b/chicorypost/cookies/_router.py
@@ -198,7 +198,8 @@
     def find_unreachable_service(self) -> ServiceId | None:
         """Return a service whose upstreams are all silent or unresponsive, if any.
 
-        Evacuated upstreams count as well, so that an evacuation changes nothing here.
+        Evacuated upstreams count as well, so that no service becomes unreachable by an evacuation.
+        A service with evacuated upstreams only isn't returned: the operator's order has precedence.
         """
         for service, candidates in self.index.candidates.items():
             withheld = self.index.withheld.get(service)
--- a/chicorypost/platform/__init__.py
+++ b/chicorypost/platform/__init__.py
@@ -15,6 +15,7 @@
         read_leave_notice,
     )
     from chicorypost.platform._calls import (
+        EVACUATIONS_TARGET,
         AnnounceCall,
         EvacuationCall,
         InvalidDataCentre,
@@ -52,6 +53,7 @@
     )
 
 __all__ = [
+    "EVACUATIONS_TARGET",
     "SETTINGS_VARIABLE",
     "AnnounceCall",
     "EvacuationCall",
@@ -93,6 +95,7 @@
         "AnnounceCall": "_calls",
         "InvalidAnnouncement": "_announcements",
         "InvalidPacket": "_packets",
+        "EVACUATIONS_TARGET": "_calls",
         "EvacuationCall": "_calls",
         "InvalidDataCentre": "_calls",
         "LeaveCall": "_calls",
--- a/chicorypost/platform/_calls.py
+++ b/chicorypost/platform/_calls.py
@@ -18,7 +18,7 @@
 GET_CONFIGURATION_PATH = "/-/Config.Get"
 START_EVACUATION_PREFIX = "/-/Evacuation.Start/"
 END_EVACUATION_PREFIX = "/-/Evacuation.End/"
-GET_EVACUATIONS_PATH = "/-/Evacuation.Get"
+EVACUATIONS_TARGET = "/-/Evacuation.Get"
 """Not a call of the platform; for the command ``chicorypost evacuation show``."""
 
 _JSON = (("content-type", "application/json"),)
@@ -72,7 +72,7 @@
     ("GET", READY_PATH): SimpleCall.READY,
     ("POST", PUT_CONFIGURATION_PATH): SimpleCall.PUT_CONFIGURATION,
     ("GET", GET_CONFIGURATION_PATH): SimpleCall.GET_CONFIGURATION,
-    ("GET", GET_EVACUATIONS_PATH): SimpleCall.GET_EVACUATIONS,
+    ("GET", EVACUATIONS_TARGET): SimpleCall.GET_EVACUATIONS,
 }
 
 
--- a/chicorypost/roles/_evacuation_calls.py
+++ b/chicorypost/roles/_evacuation_calls.py
@@ -20,6 +20,11 @@
 from chicorypost.roles._pending_outcomes import PendingOutcomes
 from chicorypost.transport import HttpServerResponse
 
+CLOSE_WAIT_SECONDS = 0.1
+"""Pause before an order is proposed. A request that a cut has held up arrives when the cut ends,
+maybe after a later order. Its caller has given up by then, so the close of the connection arrives
+one round trip later."""
+
 
 class EvacuationCallHandler:
     """Handles orders to start or end an evacuation, and reads of the evacuated data centres.
@@ -91,6 +96,8 @@
         and only a command that takes effect makes earlier proposals for this entry outdated.
         """
         deadline = trio.current_time() + self.timeout_seconds
+        # The server cancels this call if its caller closes the connection.
+        await trio.sleep(CLOSE_WAIT_SECONDS)
         while (remaining_seconds := deadline - trio.current_time()) > 0.0:
             order_id = uuid4().hex
             command = self.state.make_command(order_id, name, is_evacuated)
--- a/chicorypost/roles/tests/test_startup_balancer.py
+++ b/chicorypost/roles/tests/test_startup_balancer.py
@@ -15,6 +15,7 @@
 from chicorypost.announcements.tests.test_table import announce
 from chicorypost.base import DataCentreId, Endpoint, InstanceId, Version
 from chicorypost.cookies import make_cookie
+from chicorypost.evacuation import Evacuations, Revision
 from chicorypost.events import Emit
 from chicorypost.platform import NodeSettings
 from chicorypost.platform._packets import make_address
@@ -136,13 +137,14 @@
             return False
         return True
 
-    def send_state(self, controls=1):
+    def send_state(self, controls=1, evacuations=None):
         """Send the announcement table and the configuration as one of `controls` instances."""
         host, port = self.upstream.getsockname()
         call = msgspec.structs.replace(announce("i-1"), endpoint=Endpoint(host, port))
         listed = (ListedUpstream(call, False, 0),)
         names = tuple(InstanceId(f"{LOOPBACK}:{number + 1}") for number in range(controls))
-        self.control.send(FeedPage(1, 1, True, False, listed, names, Version(4)))
+        version = Version(4)
+        self.control.send(FeedPage(1, 1, True, False, listed, names, version, None, evacuations))
         assert self.run_until(lambda: self.received_messages(DocumentRequest))
         address = make_address("198.18.0.1", 443)
         shares = (WeightedService(call.service, 1),)
@@ -175,6 +177,19 @@
     assert startup.datagrams[-1][8:][28:32] == make_cookie(call.endpoint).to_bytes(4, "big")
 
 
+def test_evacuated_upstreams_get_no_flow_before_the_event_loop_runs(startup):
+    """The start-up dispatcher passed on only the events that it knew."""
+    startup.control.listen()
+    assert startup.run_until(lambda: startup.received_messages(Subscribe))
+    call = startup.send_state(evacuations=Evacuations(Revision(1), (DataCentreId("a"),)))
+    assert call.data_centre == "a"
+    core = startup.balancer.core
+    assert startup.run_until(lambda: core.missing_prerequisite() == "")
+    startup.send_packet()
+    assert startup.run_until(lambda: core.router.counters["reset-evacuated"] > 0)
+    assert startup.balancer.event_log.counts_by_name()["evacuations-applied"] == 1
+
+
 def test_packets_before_the_configuration_wait_in_the_socket(startup):
     startup.control.listen()
     startup.send_packet()
--- a/tests/test_role_processes.py
+++ b/tests/test_role_processes.py
@@ -12,6 +12,7 @@
 import socket
 import time
 
+import cappa
 import pytest
 
 from benchmarks.standins.role_cluster import (
@@ -37,6 +38,7 @@
     Version,
     encode,
 )
+from chicorypost.commands._main import RootCommand
 from chicorypost.consensus import ClusterMembership
 from chicorypost.consensus._messages import AppendRequest, ClusterInfo, FormationHello, VoteRequest
 from chicorypost.consensus._records import MemberId
@@ -182,6 +184,35 @@
         path.write_bytes(original)
 
 
+def test_an_evacuation_survives_the_kill_of_all_processes(cluster, capsys):
+    """The balancer that starts has no earlier state to keep; all must be on the disks."""
+    servers = ",".join(f"http://{seed}" for seed in cluster.seeds)
+
+    def run(*arguments):
+        cappa.invoke(RootCommand, argv=["evacuation", *arguments, "--servers", servers])
+        return capsys.readouterr().out
+
+    def is_in_force(data_centres):
+        held = [cluster.dump(cluster.balancer).get("flows", {}).get("evacuated")]
+        held += [
+            cluster.dump(p).get("evacuations", {}).get("data_centres") for p in cluster.controls
+        ]
+        return held == [data_centres] * 4
+
+    run("start", "a")
+    wait_until(lambda: is_in_force(["a"]), 5.0)
+    for process in cluster.processes:
+        process.kill()
+    for process in cluster.processes:
+        process.start()
+    wait_until(cluster.is_sound)
+    assert is_in_force(["a"])
+    assert run("show").split() == ["a"]
+    run("end", "a")
+    wait_until(lambda: is_in_force([]), 5.0)
+    assert cluster.list_errors() == []
+
+
 def make_hello(instance="127.0.0.9:8166", host="127.0.0.9", port=NOT_LISTENING_PORT):
     return encode_frame(
         ConnectionHello(
