--- a/chicorypost/evacuation/tests/test_state.py
+++ b/chicorypost/evacuation/tests/test_state.py
@@ -60,7 +60,7 @@
 
 
 def test_a_late_command_does_not_undo_an_order_that_changed_nothing():
-    """The end of an evacuation that wasn't known left the revision, and the late start matched."""
+    """Were the revision left as it is, the late start would match it."""
     state = EvacuationState()
     late_start = propose(state, "a", True)
     take(state, "a", False)
--- a/chicorypost/roles/tests/test_startup_balancer.py
+++ b/chicorypost/roles/tests/test_startup_balancer.py
@@ -178,7 +178,7 @@
 
 
 def test_evacuated_upstreams_get_no_flow_before_the_event_loop_runs(startup):
-    """The start-up dispatcher passed on only the events that it knew."""
+    """The start-up balancer has its own dispatcher, which must pass on the event."""
     startup.control.listen()
     assert startup.run_until(lambda: startup.received_messages(Subscribe))
     call = startup.send_state(evacuations=Evacuations(Revision(1), (DataCentreId("a"),)))
--- a/tests/test_fault_matrix.py
+++ b/tests/test_fault_matrix.py
@@ -23,7 +23,7 @@
     "second loss after repair",
     "two faults together",
 )
-PROMISE_COUNT = 8
+PROMISE_COUNT = 9
 REPORTS_HEADING = "## Reports of other operators"
 REPORT_COUNT = 9
 WAYS = ("daemons", "roles")
