Evacuated upstreams don't make a service reachable

Cause: a balancer that is cut off in an evacuated data centre counted the evacuated upstreams as reachable, stayed in rotation and reset every flow of its clients, whom other data centres could serve. Change: readiness counts the upstreams that take flows; a service without any isn't reported. Result: the new test failed before; tests of cookies pass.

--- a/chicorypost/cookies/_router.py
+++ b/chicorypost/cookies/_router.py
@@ -198,16 +198,13 @@
     def find_unreachable_service(self) -> ServiceId | None:
         """Return a service whose upstreams are all silent or unresponsive, if any.
 
-        Evacuated upstreams count as well, so that no service becomes unreachable by an evacuation.
-        A service with evacuated upstreams only isn't returned: the operator's order has precedence.
+        Evacuated upstreams get no flows, so they don't make a service reachable; a service that has
+        only evacuated ones is unreachable by order and isn't reported.
         """
         for service, candidates in self.index.candidates.items():
-            withheld = self.index.withheld.get(service)
-            reachable = candidates.list_reachable()
-            reachable += withheld.list_reachable() if withheld is not None else []
             if all(
                 self.suspected_upstreams.is_unresponsive(item.announcement.upstream)
-                for item in reachable
+                for item in candidates.list_reachable()
             ):
                 return service
         return None
--- a/chicorypost/cookies/tests/test_evacuations.py
+++ b/chicorypost/cookies/tests/test_evacuations.py
@@ -1,5 +1,6 @@
 """New flows and copies of openings avoid evacuated data centres; open flows stay."""
 
+import msgspec
 import pytest
 
 from chicorypost.announcements import AnnouncedStatus, EvacuationsApplied
@@ -90,14 +91,21 @@
     assert chosen_by(spread_router, opening(b"f")) == NAMES[0]
 
 
-def test_an_evacuation_makes_no_service_unreachable(spread_router):
-    """A balancer that is cut off would say that it isn't ready, and its clients would move."""
+def test_a_service_whose_upstreams_are_all_evacuated_is_not_reported_as_unreachable(spread_router):
+    """Guards against a deployment that takes itself out of rotation because of an order."""
     evacuate(spread_router, "a", "b", "c")
     assert spread_router.find_unreachable_service() is None
+
+
+def test_an_evacuated_upstream_does_not_make_a_service_reachable(spread_router):
+    """Guards against a balancer that is cut off in an evacuated data centre, stays in rotation and
+    resets every flow of its clients."""
     evacuate(spread_router, "a")
-    silent = [make_visible(name, is_silent=True) for name in NAMES[1:]]
+    silent = [
+        msgspec.structs.replace(make_visible_in(name, "b"), is_silent=True) for name in NAMES[1:]
+    ]
     update_upstreams(spread_router, make_visible_in(NAMES[0], "a"), *silent)
-    assert spread_router.find_unreachable_service() is None
+    assert spread_router.find_unreachable_service() == SERVICE
 
 
 def test_an_evacuation_does_not_hide_that_no_upstream_answers(spread_router):
