Read the warm-up of a service from the configuration

Cause: services of the build farm have warmup_s and warmup_per_s, which were ignored. Change: ServiceSpec has the warm-up in seconds and the flows a second that a cold upstream bears, both 0 by default, so messages and logs of earlier builds stay readable. Numbers from 0 are read; any other value is refused and the reason names the field. The digest of a configuration without a warm-up is encoded as earlier builds do, so they still take changes. With a warm-up, an earlier build drops the fields, its digest differs, and it fetches the whole configuration.

--- a/chicorypost/platform/_configuration.py
+++ b/chicorypost/platform/_configuration.py
@@ -29,6 +29,7 @@
 
 Number = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARACTERS)]
+Amount = Annotated[float, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 
 
 class _SplitTarget(msgspec.Struct):
@@ -52,6 +53,8 @@
     name: Name
     health_path: str = ""
     max_conns: Number = 0
+    warmup_s: Amount = 0.0  # how long an upstream is cold after its start
+    warmup_per_s: Amount = 0.0  # new flows a second that a cold upstream bears
 
 
 class _Limits(msgspec.Struct):
@@ -84,7 +87,13 @@
     except ValueError as error:
         return InvalidRouting(str(error))
     services = tuple(
-        ServiceSpec(ServiceId(spec.name), spec.health_path, spec.max_conns)
+        ServiceSpec(
+            ServiceId(spec.name),
+            spec.health_path,
+            spec.max_conns,
+            spec.warmup_s,
+            spec.warmup_per_s,
+        )
         for spec in document.services
     )
     idle_seconds = document.limits.idle_timeout_ms / 1000
--- a/chicorypost/platform/tests/test_odd_entries.py
+++ b/chicorypost/platform/tests/test_odd_entries.py
@@ -83,6 +83,16 @@
     assert "services" in read.detail
 
 
+@pytest.mark.parametrize("field", ["warmup_s", "warmup_per_s"])
+@pytest.mark.parametrize("value", [-1, -0.5, "2", None, True, [], 1e300])
+def test_configuration_with_an_impossible_warmup_is_refused_with_the_field(field, value):
+    service = CONFIGURATION["services"][0] | {field: value}
+    services = [service, *CONFIGURATION["services"][1:]]
+    read = read_configuration(json.dumps(CONFIGURATION | {"services": services}).encode())
+    assert isinstance(read, InvalidRouting)
+    assert field in read.detail
+
+
 @BROKEN
 @pytest.mark.parametrize("field", ["seeds", "a_later_field"])
 def test_settings_with_an_unreadable_value_name_the_field(field, value):
--- a/chicorypost/platform/tests/test_readers.py
+++ b/chicorypost/platform/tests/test_readers.py
@@ -275,6 +275,15 @@
     assert [target.weight for target in document.routes[1].targets] == [90, 10]
 
 
+def test_warmup_of_a_service_is_read():
+    first, second = CONFIGURATION["services"]
+    services = [first | {"warmup_s": 2, "warmup_per_s": 0.5}, second | {"warmup_s": 0}]
+    document = read_configuration(encode_changed(CONFIGURATION, services=services))
+    assert isinstance(document, RoutingDocument)
+    read = [(spec.warmup_seconds, spec.warmup_flows_per_second) for spec in document.services]
+    assert read == [(2.0, 0.5), (0.0, 0.0)]
+
+
 @pytest.mark.parametrize(
     ("route_type", "retryability"),
     [
--- a/chicorypost/routing/_change.py
+++ b/chicorypost/routing/_change.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Sequence
 
+import msgspec
+
 from chicorypost.base import Address, Record, ServiceId, Version, hash64, pack_record
 from chicorypost.routing._document import Route, RoutingDocument, ServiceSpec
 
@@ -23,17 +25,46 @@
     digest: int
 
 
+class _EarlierServiceSpec(Record, frozen=True, array_like=True):
+    """A `ServiceSpec` without the fields that earlier builds don't have."""
+
+    service: ServiceId
+    health_path: str
+    connections: int
+
+
+class _DigestedDocument(Record, frozen=True, array_like=True):
+    """A `RoutingDocument` as encoded for its digest."""
+
+    version: Version
+    routes: tuple[Route, ...]
+    services: tuple[Record, ...]
+    idle_seconds: float
+
+
 def compute_digest(document: RoutingDocument) -> int:
-    """Return a 64-bit hash of a configuration that doesn't depend on the order of its parts."""
-    ordered = RoutingDocument(
+    """Return a 64-bit hash of a configuration that doesn't depend on the order of its parts.
+
+    A service without a warm-up is encoded as earlier builds encode it, so that they compute the
+    same digest and still take changes.
+    """
+    ordered = _DigestedDocument(
         document.version,
         tuple(sorted(document.routes, key=lambda route: route.address)),
-        tuple(sorted(document.services, key=lambda spec: spec.service)),
+        tuple(
+            _omit_default_warmup(spec)
+            for spec in sorted(document.services, key=lambda spec: spec.service)
+        ),
         document.idle_seconds,
     )
     return hash64(pack_record(ordered))
 
 
+def _omit_default_warmup(spec: ServiceSpec) -> Record:
+    earlier = _EarlierServiceSpec(spec.service, spec.health_path, spec.connections)
+    return earlier if ServiceSpec(*msgspec.structs.astuple(earlier)) == spec else spec
+
+
 def compute_change(base: RoutingDocument, document: RoutingDocument) -> RoutingChange:
     """Return the difference between two configurations."""
     base_routes = {route.address: route for route in base.routes}
--- a/chicorypost/routing/_document.py
+++ b/chicorypost/routing/_document.py
@@ -44,6 +44,10 @@
     health_path: str
     connections: int
     """Maximum number of flows of one upstream of the service."""
+    warmup_seconds: float = 0.0
+    """How long an upstream is cold after its start; 0 for no limit of the flows to cold ones."""
+    warmup_flows_per_second: float = 0.0
+    """New flows a second that a cold upstream bears."""
 
 
 class RoutingDocument(Record, frozen=True, array_like=True):
--- a/chicorypost/routing/tests/test_change.py
+++ b/chicorypost/routing/tests/test_change.py
@@ -2,10 +2,12 @@
 
 from itertools import pairwise
 
+import msgpack
+import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
 
-from chicorypost.base import Address, ServiceId, Version
+from chicorypost.base import Address, ServiceId, Version, hash64
 from chicorypost.routing import (
     Retryability,
     Route,
@@ -16,6 +18,7 @@
     compute_change,
     merge_changes,
 )
+from chicorypost.routing._change import compute_digest
 
 SERVICES = [ServiceId("orders"), ServiceId("archive"), ServiceId("feed")]
 
@@ -80,6 +83,39 @@
     assert apply_change(read_here, change) is None
 
 
+def encode_as_earlier_build(document):
+    """Return the bytes that a build without warm-ups hashes for the digest."""
+    routes = sorted(document.routes, key=lambda route: route.address)
+    services = sorted(document.services, key=lambda spec: spec.service)
+    return msgpack.packb(
+        [
+            document.version,
+            [msgspec.to_builtins(route) for route in routes],
+            [[spec.service, spec.health_path, spec.connections] for spec in services],
+            document.idle_seconds,
+        ]
+    )
+
+
+def test_earlier_builds_compute_the_same_digest_of_a_configuration_without_warmups():
+    """Each change would have cost them the whole configuration during a rolling upgrade."""
+    document = make_document(3, {80: 1, 81: 2}, {SERVICES[0]: 1, SERVICES[1]: 2})
+    assert compute_digest(document) == hash64(encode_as_earlier_build(document))
+
+
+def test_an_earlier_build_sees_that_it_cannot_apply_a_change_with_a_warmup():
+    """It drops the fields, so its digest differs, and it fetches the whole configuration."""
+    document = make_document(3, {80: 1}, {SERVICES[0]: 1})
+    (spec,) = document.services
+    warm = msgspec.structs.replace(spec, warmup_seconds=2.0)
+    changed = msgspec.structs.replace(document, services=(warm,))
+    assert compute_digest(changed) != hash64(encode_as_earlier_build(changed))
+    before = make_document(2, {80: 1}, {SERVICES[0]: 1})
+    change = compute_change(before, changed)
+    assert change.services == (warm,)
+    assert apply_change(before, change) == changed
+
+
 def test_a_change_holds_only_what_differs():
     before = make_document(1, dict.fromkeys(range(1, 100), 5), {SERVICES[0]: 1, SERVICES[1]: 1})
     after = make_document(
