State the remaining warm-up with its own age; count subscribed balancers

Cause: a control instance that got the first call of an upstream, and later only contacts from peers, listed the first warmup_ms with a small age_ms. A balancer that connected late counted the whole warm-up again. With limits for cold upstreams this would take warm upstreams out of use. Change: the table keeps the end of the warm-up by its clock, the earliest that a run has stated, and lists what remains. A call that ends notably later (cold again in the same run) or notably earlier (an earlier call was held up) is a change for balancers and peers. The table is saved once more when a warm-up has ended, since all upstreams would be cold after a restart otherwise. FeedPage.balancers is the number of subscribers, None while the table isn't complete; it causes no page. Ruled out: a further field of ListedUpstream, since earlier builds subtract age_ms too. Calls of a warm-up cause no pages, as before.

--- a/chicorypost/announcements/__init__.py
+++ b/chicorypost/announcements/__init__.py
@@ -36,6 +36,7 @@
     from chicorypost.announcements._settings import AnnouncementSettings
     from chicorypost.announcements._table import AnnouncementTable
     from chicorypost.announcements._view import (
+        BalancersCounted,
         ControlsChanged,
         DirectoryView,
         RoutingApplied,
@@ -54,6 +55,7 @@
     "AnnouncementSettings",
     "AnnouncementTable",
     "AnnouncementTableReply",
+    "BalancersCounted",
     "ControlsChanged",
     "DirectoryView",
     "FeedPage",
@@ -87,6 +89,7 @@
         "AnnouncementOutcome": "_records",
         "AnnouncementSettings": "_settings",
         "AnnouncementTable": "_table",
+        "BalancersCounted": "_view",
         "ControlsChanged": "_view",
         "DirectoryView": "_view",
         "FeedPage": "_messages",
--- a/chicorypost/announcements/_feed.py
+++ b/chicorypost/announcements/_feed.py
@@ -209,4 +209,6 @@
             self.controls,
             self.version,
             since,
+            # Just after a start, few of the balancers have subscribed again.
+            len(self.subscribers) if self.is_complete else None,
         )
--- a/chicorypost/announcements/_messages.py
+++ b/chicorypost/announcements/_messages.py
@@ -82,6 +82,9 @@
     since : int or None
         Position from which the page continues; None in messages of earlier builds, which continue
         from the position before.
+    balancers : int or None
+        Number of balancers that are subscribed to the sender; None if it has just started, and in
+        messages of earlier builds. A new number causes no page.
     """
 
     feed_id: int
@@ -92,6 +95,7 @@
     controls: tuple[InstanceId, ...]
     version: Version
     since: int | None = None
+    balancers: int | None = None
 
 
 class DocumentRequest(Message, frozen=True, array_like=True, tag=812):
--- a/chicorypost/announcements/_records.py
+++ b/chicorypost/announcements/_records.py
@@ -84,7 +84,8 @@
     """Table entry of an upstream as sent to other instances.
 
     `is_silent` is true if the last contact known to the sender, its own or that of a peer, is too
-    long ago; `age_ms` is the time since that contact, in milliseconds.
+    long ago; `age_ms` is the time since that contact, in milliseconds. `warmup_ms` of the
+    announcement is the warm-up that remained at that contact, so that `warmup_ms - age_ms` remains.
     """
 
     announcement: Announcement
--- a/chicorypost/announcements/_registry.py
+++ b/chicorypost/announcements/_registry.py
@@ -256,7 +256,9 @@
         for item in usable:
             # The downtime is unknown, so each upstream is remembered for the full time again.
             if not item.is_silent or item.announcement.status is AnnouncedStatus.GONE:
-                self.table.record_announcement(item.announcement, now, is_recent=False)
+                remaining_ms = max(0, item.announcement.warmup_ms - item.age_ms)
+                restored = msgspec.structs.replace(item.announcement, warmup_ms=remaining_ms)
+                self.table.record_announcement(restored, now, is_recent=False)
 
     def _record_save(self, change_number: int) -> None:
         for pending in self.pending_calls:
@@ -323,6 +325,9 @@
             self.dissemination.contacts.clear()
         if not self.is_complete and now >= self.complete_at:
             self._mark_complete(now)
+        if self.table.pop_warmed_up(now):
+            # Else all upstreams would be cold again in the table that a restart reads.
+            self.effects.append(TableChanged(self.dissemination.change_number))
         silent = self.table.mark_silent(now, self.settings.silent_seconds)
         self._publish(silent, now, replicate=False)
         removed = self.table.remove_expired(now, self.settings.forget_seconds)
--- a/chicorypost/announcements/_table.py
+++ b/chicorypost/announcements/_table.py
@@ -1,5 +1,6 @@
 """The upstream table of one control instance: call ordering and silence detection."""
 
+import math
 from collections.abc import Iterable
 
 import msgspec
@@ -15,14 +16,22 @@
 from chicorypost.base import Instant, UpstreamId
 
 MS_PER_SECOND = 1000
+WARMUP_TOLERANCE_SECONDS = 0.2
+"""Difference between two statements of the end of a warm-up up to which it hasn't changed; calls
+take different times to arrive."""
 
 
 class TableEntry(msgspec.Struct):
-    """Latest call of one upstream, time of the last contact, and whether that is too long ago."""
+    """Latest call of one upstream, time of the last contact, and whether that is too long ago.
+
+    The end of the warm-up is stored apart from the call that stated it, since contacts renew
+    `last_contact_at` and not the call.
+    """
 
     announcement: Announcement
     last_contact_at: Instant
-    is_silent: bool = False
+    is_silent: bool
+    warmup_ends_at: Instant
 
 
 class AnnouncementTable:
@@ -34,6 +43,8 @@
 
     def __init__(self) -> None:
         self.entries: dict[UpstreamId, TableEntry] = {}
+        self.warming: set[UpstreamId] = set()
+        """Upstreams whose warm-up has ended only after the last call of `pop_warmed_up`."""
 
     def record_announcement(
         self, announcement: Announcement, received_at: Instant, is_recent: bool = True
@@ -58,6 +69,9 @@
         entry = self.entries.get(announcement.upstream)
         if entry is not None and announcement.order_key <= entry.announcement.order_key:
             if announcement.order_key == entry.announcement.order_key:
+                # The copy of a call that arrived first states the end of the warm-up best.
+                ends_at = _get_warmup_end(announcement, received_at)
+                entry.warmup_ends_at = min(entry.warmup_ends_at, ends_at)
                 revived = self._update_last_contact(entry, received_at, is_recent)
                 return AnnouncementOutcome.ACCEPTED, revived
             return AnnouncementOutcome.OUTDATED, []
@@ -68,12 +82,19 @@
     ) -> list[UpstreamId]:
         name = announcement.upstream
         entry = self.entries.get(name)
+        ends_at = _get_warmup_end(announcement, received_at)
+        if announcement.warmup_ms > 0:
+            self.warming.add(name)
         if entry is None:
-            self.entries[name] = TableEntry(announcement, received_at, not is_recent)
+            self.entries[name] = TableEntry(announcement, received_at, not is_recent, ends_at)
             return [name]
         is_change = _without_volatile_fields(announcement) != _without_volatile_fields(
             entry.announcement
         )
+        if announcement.started_at_ms != entry.announcement.started_at_ms:
+            entry.warmup_ends_at = ends_at
+        elif _update_warmup(entry, ends_at, received_at):
+            is_change = True
         entry.announcement = announcement
         revived = self._update_last_contact(entry, received_at, is_recent)
         return revived or ([name] if is_change else [])
@@ -141,6 +162,17 @@
                 marked.append(name)
         return marked
 
+    def pop_warmed_up(self, now: Instant) -> list[UpstreamId]:
+        """Return the upstreams in use whose warm-up has ended since the last call."""
+        entries = {name: self.entries.get(name) for name in self.warming}
+        ended = {
+            name: entry
+            for name, entry in entries.items()
+            if entry is None or entry.warmup_ends_at <= now
+        }
+        self.warming.difference_update(ended)
+        return [name for name, entry in ended.items() if entry is not None and not entry.is_silent]
+
     def remove_expired(self, now: Instant, seconds: float) -> list[UpstreamId]:
         """Remove upstreams without contact for `seconds`; return the removed ones."""
         expired = [
@@ -159,10 +191,33 @@
             entry = self.entries.get(name)
             if entry is not None:
                 age_ms = max(0, int((now - entry.last_contact_at) * MS_PER_SECOND))
-                listed.append(ListedUpstream(entry.announcement, entry.is_silent, age_ms))
+                remaining_ms = math.ceil((entry.warmup_ends_at - now) * MS_PER_SECOND)
+                warmup_ms = remaining_ms + age_ms if remaining_ms > 0 else 0
+                announcement = entry.announcement
+                if announcement.warmup_ms != warmup_ms:
+                    announcement = msgspec.structs.replace(announcement, warmup_ms=warmup_ms)
+                listed.append(ListedUpstream(announcement, entry.is_silent, age_ms))
         return tuple(listed)
 
 
+def _get_warmup_end(announcement: Announcement, received_at: Instant) -> Instant:
+    return Instant(received_at + announcement.warmup_ms / MS_PER_SECOND)
+
+
+def _update_warmup(entry: TableEntry, ends_at: Instant, received_at: Instant) -> bool:
+    """Store the end of the warm-up that a later call of the same run states.
+
+    Each call states the end too late by its time on the way, so the earliest end counts, unless
+    the upstream is cold again. Returns whether the difference must be sent to other instances.
+    """
+    previous_end = entry.warmup_ends_at
+    is_cold_again = ends_at - max(previous_end, received_at) > WARMUP_TOLERANCE_SECONDS
+    if is_cold_again or ends_at < previous_end:
+        entry.warmup_ends_at = ends_at
+    is_earlier = previous_end - max(ends_at, received_at) > WARMUP_TOLERANCE_SECONDS
+    return is_cold_again or is_earlier
+
+
 def _without_volatile_fields(announcement: Announcement) -> Announcement:
     """Return the call without the fields that differ between any two calls."""
     return msgspec.structs.replace(announcement, sequence=0, warmup_ms=0)
--- a/chicorypost/announcements/_view.py
+++ b/chicorypost/announcements/_view.py
@@ -66,6 +66,15 @@
     document: RoutingDocument
 
 
+class BalancersCounted(Event, Effect, msgspec.Struct, frozen=True):
+    """The highest number of balancers that a connected control instance reports has changed.
+
+    `count` is None if none reports a number.
+    """
+
+    count: int | None
+
+
 class ControlsChanged(Effect, msgspec.Struct, frozen=True):
     """The control instances to stay connected to."""
 
@@ -91,6 +100,7 @@
     is_complete: bool = False
     version: Version = NO_VERSION
     controls: tuple[InstanceId, ...] = ()
+    balancers: int | None = None
     listed: dict[UpstreamId, ListedUpstream] = msgspec.field(default_factory=dict)
 
 
@@ -129,6 +139,8 @@
         self.needs_whole_document = False
         """Whether the last change of the configuration didn't fit."""
         self.subscribe_at = now
+        self.balancers: int | None = None
+        """Highest number of balancers that a connected control instance reports."""
         self.controls: frozenset[InstanceId] = frozenset()
         self.effects: list[Effect] = []
 
@@ -176,6 +188,7 @@
                 )
         self._request_document(now)
         self._update_controls()
+        self._update_balancers()
         return self.effects
 
     def next_deadline(self) -> Instant | None:
@@ -230,6 +243,7 @@
         feed.is_connected = feed.is_current = True
         feed.feed_id, feed.position = page.feed_id, page.position
         feed.controls, feed.version = page.controls, page.version
+        feed.balancers = page.balancers
         feed.listed.update({item.announcement.upstream: item for item in usable})
         if feed.is_complete != was_complete:
             changed = set(self.upstreams) | changed
@@ -340,6 +354,17 @@
             self.controls = controls
             self.effects.append(ControlsChanged(controls))
 
+    def _update_balancers(self) -> None:
+        counts = [
+            feed.balancers
+            for feed in self.feeds.values()
+            if feed.is_connected and feed.balancers is not None
+        ]
+        balancers = max(counts, default=None)
+        if balancers != self.balancers:
+            self.balancers = balancers
+            self.effects.append(BalancersCounted(balancers))
+
     def _check_deadlines(self, now: Instant) -> None:
         if now < self.subscribe_at:
             return
--- a/chicorypost/announcements/tests/test_reconnection.py
+++ b/chicorypost/announcements/tests/test_reconnection.py
@@ -17,8 +17,21 @@
 from chicorypost.announcements._messages import DocumentRequest
 from chicorypost.announcements.tests.network import SETTINGS, Network
 from chicorypost.announcements.tests.test_table import announce
-from chicorypost.base import InstanceId, Received, Record, Send, UpstreamId, Version, decode, encode
+from chicorypost.base import (
+    InstanceId,
+    Received,
+    Record,
+    Send,
+    ServiceId,
+    UpstreamId,
+    Version,
+    decode,
+    encode,
+    pack_record,
+    unpack_record,
+)
 from chicorypost.base._message import WIRE_VERSION
+from chicorypost.routing import ServiceSpec
 
 C1 = InstanceId("c1")
 UPSTREAMS = 150
@@ -186,8 +199,17 @@
         feed_id: int
         position: int
 
+    class EarlierServiceSpec(Record, frozen=True, array_like=True):
+        service: ServiceId
+        health_path: str
+        connections: int
+
     _, body = msgpack.unpackb(encode(Subscribe(5, 7, True)))
     assert msgspec.convert(body, EarlierSubscribe) == EarlierSubscribe(5, 7)
+    body = msgpack.unpackb(pack_record(ServiceSpec(ServiceId("orders"), "/", 9, 2.0, 1.0)))
+    spec = EarlierServiceSpec(ServiceId("orders"), "/", 9)
+    assert msgspec.convert(body, EarlierServiceSpec) == spec
+    assert unpack_record(pack_record(spec), ServiceSpec) == ServiceSpec(ServiceId("orders"), "/", 9)
 
 
 STEPS = st.lists(
