Keep flows away from cold upstreams, and limit them when all are cold

Cause: nothing limited the flows that a cold upstream gets from all balancers together, and each balancer prefers an upstream without load. Change: with warmup_s and bounds.warmup_overage, cold upstreams get no flows while a warm one accepts them, and their slots don't count in the choice of the data centre. Otherwise a hash selects the balancers that may use a cold upstream, by the number of balancers in the feed; each sends one flow in 1.25 s. Events service-cold and service-warm, counters opened-beside-cold and opened-cold, gauge cold_upstreams.

--- a/chicorypost/cookies/_choice.py
+++ b/chicorypost/cookies/_choice.py
@@ -5,7 +5,9 @@
 from chicorypost.announcements import VisibleUpstream
 from chicorypost.base import DataCentreId, Instant, UpstreamId
 from chicorypost.cookies._candidates import ServiceCandidates
+from chicorypost.cookies._cold_starts import ColdStarts
 from chicorypost.cookies._flows import FlowTracker
+from chicorypost.cookies._packet import ResetReason
 from chicorypost.cookies._settings import CookieSettings
 from chicorypost.cookies._suspects import SuspectedUpstreams
 
@@ -30,6 +32,8 @@
         Upstreams that leave openings unanswered.
     random : Random
         Source of randomness for the data centre and for ties between upstreams.
+    cold_starts : ColdStarts, optional
+        Limits the flows to cold upstreams; None for no limits.
     """
 
     def __init__(
@@ -39,16 +43,18 @@
         tracker: FlowTracker,
         suspected_upstreams: SuspectedUpstreams,
         random: Random,
+        cold_starts: ColdStarts | None = None,
     ) -> None:
         self.settings = settings
         self.data_centre = data_centre
         self.tracker = tracker
         self.suspected_upstreams = suspected_upstreams
         self.random = random
+        self.cold_starts = cold_starts
 
     def choose(
         self, candidates: ServiceCandidates, data_centres: int, now: Instant
-    ) -> VisibleUpstream | None:
+    ) -> VisibleUpstream | ResetReason | None:
         """Choose an upstream for a new flow.
 
         Parameters
@@ -62,13 +68,55 @@
 
         Returns
         -------
-        VisibleUpstream or None
-            The chosen upstream; None if there is no candidate.
+        VisibleUpstream, ResetReason or None
+            The chosen upstream, or why the flow is reset; None if there is no candidate.
         """
         excluded = self._find_excluded(candidates, now)
+        if self.cold_starts is not None:
+            cold = self.cold_starts.find_cold(candidates, now)
+            if cold:
+                return self._choose_beside_cold(candidates, excluded, cold, data_centres, now)
         eligible = self._find_eligible(candidates, excluded, data_centres) or list(candidates)
-        if not eligible:
-            return None
+        return self._choose_least_loaded(eligible, now) if eligible else None
+
+    def _choose_beside_cold(
+        self,
+        candidates: ServiceCandidates,
+        excluded: dict[UpstreamId, VisibleUpstream],
+        cold: dict[UpstreamId, VisibleUpstream],
+        data_centres: int,
+        now: Instant,
+    ) -> VisibleUpstream | ResetReason:
+        """Choose a warm upstream, or without any a cold one within the limits."""
+        assert self.cold_starts is not None
+        reachable_cold = {name: item for name, item in cold.items() if not item.is_silent}
+        unusable = excluded | reachable_cold
+        if len(unusable) < candidates.count_reachable():
+            warm = self._find_eligible(candidates, unusable, data_centres) or [
+                item
+                for item in candidates.list_reachable()
+                if item.announcement.upstream not in unusable
+            ]
+            self.cold_starts.record_warm_flow()
+            return self._choose_least_loaded(warm, now)
+        usable_cold = {name: item for name, item in reachable_cold.items() if name not in excluded}
+        if not usable_cold:
+            # The warm ones are suspected or silent; without limits they would be used too.
+            others = [item for item in candidates if item.announcement.upstream not in cold]
+            if others:
+                return self._choose_least_loaded(others, now)
+        admitting = self.cold_starts.list_admitting(usable_cold, now)
+        if not admitting:
+            service = next(iter(cold.values())).announcement.service
+            self.cold_starts.record_reset(service, now)
+            return ResetReason.COLD_UPSTREAMS
+        chosen = self._choose_least_loaded(admitting, now)
+        self.cold_starts.record_flow(chosen, now)
+        return chosen
+
+    def _choose_least_loaded(
+        self, eligible: list[VisibleUpstream], now: Instant
+    ) -> VisibleUpstream:
         return min(eligible, key=lambda item: (self._score(item, now), self.random.random()))
 
     def _find_excluded(
--- a/chicorypost/cookies/_events.py
+++ b/chicorypost/cookies/_events.py
@@ -78,6 +78,25 @@
     "An upstream gets no flows because one that started earlier has the same cookie.",
     "upstream",
 )
+SERVICE_COLD = define_event(
+    840,
+    "service-cold",
+    Level.WARNING,
+    "All upstreams of a service that accept flows are cold; this balancer limits its new flows.",
+    "service",
+    "cold_upstreams",
+    "allowed",
+    "balancers",
+)
+SERVICE_WARM = define_event(
+    841,
+    "service-warm",
+    Level.INFO,
+    "New flows of a service are no longer limited; opened and reset count those in the meantime.",
+    "service",
+    "opened",
+    "reset",
+)
 UPSTREAM_SLOW = define_event(
     828,
     "upstream-slow",
--- a/chicorypost/cookies/_packet.py
+++ b/chicorypost/cookies/_packet.py
@@ -63,6 +63,8 @@
     NO_UPSTREAM = "no-upstream"
     """No upstream of the service accepts new flows."""
     UPSTREAM_GONE = "upstream-gone"
+    COLD_UPSTREAMS = "cold"
+    """All upstreams of the service are cold and get no more flows from this balancer now."""
 
 
 class ForwardPacket(msgspec.Struct, frozen=True):
--- a/chicorypost/cookies/_router.py
+++ b/chicorypost/cookies/_router.py
@@ -6,6 +6,7 @@
 
 from chicorypost.announcements import (
     AnnouncedStatus,
+    BalancersCounted,
     RoutingApplied,
     VisibleUpstream,
     VisibleUpstreamsChanged,
@@ -16,6 +17,7 @@
     Effect,
     Event,
     FlowKey,
+    InstanceId,
     Instant,
     ServiceId,
     Tick,
@@ -24,6 +26,7 @@
     hash64,
 )
 from chicorypost.cookies._choice import FlowChooser
+from chicorypost.cookies._cold_starts import ColdStarts
 from chicorypost.cookies._events import (
     COOKIE_CONFLICT,
     UPSTREAM_SEEN,
@@ -67,6 +70,10 @@
         Features that the deployment enables.
     cold_start_limits : ColdStartLimits, optional
         Limits for cold upstreams; None for no limits.
+    balancer : InstanceId, optional
+        Name of the balancer.
+    announcement_seconds : float, default 1.0
+        Interval between announcements of an upstream.
 
     Notes
     -----
@@ -84,18 +91,25 @@
         now: Instant,
         balancing: BalancingSettings = BalancingSettings(),  # noqa: B008 (immutable)
         cold_start_limits: ColdStartLimits | None = None,
+        balancer: InstanceId = InstanceId(""),  # noqa: B008 (immutable)
+        announcement_seconds: float = 1.0,
     ) -> None:
         self.settings = settings
         self.balancing = balancing
-        self.cold_start_limits = cold_start_limits
         self.tracker = FlowTracker(settings)
         self.suspected_upstreams = SuspectedUpstreams(settings)
-        self.chooser = FlowChooser(
-            settings, data_centre, self.tracker, self.suspected_upstreams, random
-        )
         self.document: RoutingDocument | None = None
         self.routes: dict[Address, Route] = {}
         self.index = UpstreamIndex()
+        self.cold_starts: ColdStarts | None = None
+        """Limits of the flows to cold upstreams; None without limits."""
+        if cold_start_limits is not None:
+            self.cold_starts = ColdStarts(
+                cold_start_limits, self.index, balancer, announcement_seconds, now
+            )
+        self.chooser = FlowChooser(
+            settings, data_centre, self.tracker, self.suspected_upstreams, random, self.cold_starts
+        )
         self.decision_by_cookie = self.index.decision_by_cookie
         self.forwarded_packets = 0
         self.gone_at: dict[UpstreamId, Instant] = {}
@@ -110,13 +124,20 @@
             case RoutingApplied(document):
                 self.document = document
                 self.routes = {route.address: route for route in document.routes}
+                if self.cold_starts is not None:
+                    self.cold_starts.set_document(document, now)
             case VisibleUpstreamsChanged(changed, removed):
                 self._update_upstreams(changed, removed, now)
+            case BalancersCounted(count):
+                if self.cold_starts is not None:
+                    self.cold_starts.set_balancers(count, now)
             case Tick():
                 self.next_expiry_at = Instant(now + EXPIRY_INTERVAL_SECONDS)
                 idle_seconds = self.settings.flow_idle_seconds
                 self.tracker.remove_expired(now, self.settings.opening_seconds, idle_seconds)
                 self._compare_response_times(now)
+                if self.cold_starts is not None:
+                    self.cold_starts.tick(now)
             case _:
                 raise TypeError(
                     f"cookie router received an unsupported event: got {type(event).__name__}"
@@ -126,6 +147,8 @@
     def pop_effects(self) -> list[Effect]:
         """Return and clear the effects of the packets routed since the last call."""
         effects, self.effects = self.effects, []
+        if self.cold_starts is not None:
+            effects += self.cold_starts.pop_effects()
         return effects
 
     def next_deadline(self) -> Instant | None:
@@ -148,6 +171,7 @@
             },
             "slowness": dict(self.tracker.response_times.slowness),
             "counters": self.count_packets(),
+            "cold_starts": self.cold_starts.dump() if self.cold_starts is not None else None,
         }
 
     def route(self, packet: CookiePacket, now: Instant) -> Decision:
@@ -183,7 +207,8 @@
 
     def count_packets(self) -> dict[str, int]:
         """Return the number of packets per decision."""
-        return {"forwarded": self.forwarded_packets, **self.counters}
+        counters = {"forwarded": self.forwarded_packets, **self.counters}
+        return counters | (self.cold_starts.counters if self.cold_starts is not None else {})
 
     def count_candidates(self, address: Address) -> int:
         """Return the number of upstreams that accept new flows of the route at an address."""
@@ -247,13 +272,16 @@
         if chosen is None:
             service = choose_service(route, packet.flow)
             candidates = self.index.candidates.get(service)
-            chosen = (
+            choice = (
                 self.chooser.choose(candidates, self.index.data_centres, now)
                 if candidates is not None
                 else None
             )
-            if chosen is None:
+            if choice is None:
                 return self._reset(ResetReason.NO_UPSTREAM)
+            if isinstance(choice, ResetReason):
+                return self._reset(choice)
+            chosen = choice
             self.tracker.record_opening(packet.flow, chosen.announcement.upstream, now)
         self.counters["opened"] += 1
         announcement = chosen.announcement
@@ -312,6 +340,8 @@
             self.gone_at.pop(name, None)
         for name in self.index.update(changed, removed):
             self.effects.append(COOKIE_CONFLICT.emit(upstream=name))
+        if self.cold_starts is not None:
+            self.cold_starts.update(changed, removed, now)
 
     def _record_change(self, item: VisibleUpstream, now: Instant) -> None:
         name = item.announcement.upstream
--- a/chicorypost/roles/_balancer.py
+++ b/chicorypost/roles/_balancer.py
@@ -164,7 +164,7 @@
 
     def metrics(self) -> PlainMetrics:
         """Return the metrics of this process."""
-        tracker = self.router.tracker
+        tracker, cold_starts = self.router.tracker, self.router.cold_starts
         return PlainMetrics(
             lambda: {
                 "events": self.event_log.counts_by_name(),
@@ -176,6 +176,7 @@
                 "flows": len(tracker.flows),
                 "upstreams": len(self.router.upstreams),
                 "link_waiting_seconds": self.core.pacer.waiting_seconds,
+                "cold_upstreams": len(cold_starts.cold_until) if cold_starts is not None else 0,
                 "silent_upstreams": sum(item.is_silent for item in self.router.upstreams.values()),
             },
             {
--- a/chicorypost/roles/_balancer_core.py
+++ b/chicorypost/roles/_balancer_core.py
@@ -6,6 +6,7 @@
 from chicorypost.announcements import (
     VIEW_MESSAGES,
     AnnouncementSettings,
+    BalancersCounted,
     DirectoryView,
     PeerConnected,
     PeerDisconnected,
@@ -53,6 +54,8 @@
             now,
             settings.balancing,
             settings.cold_start_limits,
+            InstanceId(settings.host),
+            settings.announcement_seconds,
         )
         self.packet_socket = open_packet_socket(settings.packets, SOCKET_BUFFER_BYTES)
         self.pacer = LinkPacer(PacingSettings(settings.link_bytes_per_second))
@@ -70,7 +73,7 @@
         """Register the state machines with a dispatcher."""
         events = (PeerConnected, PeerDisconnected, SeedsChanged)
         dispatcher.register(Registration("view", self.view, VIEW_MESSAGES, events, True))
-        flow_events = (RoutingApplied, VisibleUpstreamsChanged)
+        flow_events = (RoutingApplied, VisibleUpstreamsChanged, BalancersCounted)
         dispatcher.register(Registration("flows", self.router, (), flow_events, True))
 
     def forward_batch(self, dispatcher: EventDispatcher) -> None:
