--- a/chicorypost/announcements/__init__.py
+++ b/chicorypost/announcements/__init__.py
@@ -37,6 +37,7 @@
     from chicorypost.announcements._settings import AnnouncementSettings
     from chicorypost.announcements._table import AnnouncementTable
     from chicorypost.announcements._view import (
+        BalancersCounted,
         ControlsChanged,
         DirectoryView,
         EvacuationsApplied,
@@ -56,6 +57,7 @@
     "AnnouncementSettings",
     "AnnouncementTable",
     "AnnouncementTableReply",
+    "BalancersCounted",
     "ControlsChanged",
     "DirectoryView",
     "EvacuationsApplied",
@@ -91,6 +93,7 @@
         "AnnouncementOutcome": "_records",
         "AnnouncementSettings": "_settings",
         "AnnouncementTable": "_table",
+        "BalancersCounted": "_view",
         "ControlsChanged": "_view",
         "DirectoryView": "_view",
         "EvacuationsApplied": "_view",
--- a/chicorypost/announcements/_feed.py
+++ b/chicorypost/announcements/_feed.py
@@ -221,4 +221,6 @@
             self.version,
             since,
             self.evacuations,
+            # Just after a start, few of the balancers have subscribed again.
+            len(self.subscribers) if self.is_complete else None,
         )
--- a/chicorypost/announcements/_messages.py
+++ b/chicorypost/announcements/_messages.py
@@ -86,6 +86,9 @@
     evacuations : Evacuations or None
         The evacuated data centres as the sender has applied them; None in messages of earlier
         builds.
+    balancers : int or None
+        Number of balancers that are subscribed to the sender; None if it has just started, and in
+        messages of earlier builds. A new number causes no page.
     """
 
     feed_id: int
@@ -97,6 +100,7 @@
     version: Version
     since: int | None = None
     evacuations: Evacuations | None = None
+    balancers: int | None = None
 
 
 class DocumentRequest(Message, frozen=True, array_like=True, tag=812):
--- a/chicorypost/cookies/_packet.py
+++ b/chicorypost/cookies/_packet.py
@@ -65,6 +65,8 @@
     UPSTREAM_GONE = "upstream-gone"
     EVACUATED = "evacuated"
     """The data centres of all upstreams that accept new flows of the service are evacuated."""
+    COLD_UPSTREAMS = "cold"
+    """All upstreams of the service are cold and get no more flows from this balancer now."""
 
 
 class ForwardPacket(msgspec.Struct, frozen=True):
