Test processes of control instances: keep their ports reserved and their error output

The instance then ended with "Address already in use", and a cluster whose three members aren't all present is never formed: no leader within 45 s, folders with identity and lock only. The error output went to /dev/null, and the instances were started in a way that doesn't print why they end.

Instances run by the command line; a failed wait for a leader names the state, status, error output and scheduling of each. Signals go through Popen, so that stop() still ends the others after an instance has ended by itself.

The test of the ports fails without the reservations.

--- a/chicorypost/daemons/tests/test_control_processes.py
+++ b/chicorypost/daemons/tests/test_control_processes.py
@@ -1,15 +1,23 @@
 """Tests of control processes that are killed, suspended or lose their data during patches."""
 
 import concurrent.futures
+import errno
 import json
 import signal
+import socket
 import threading
 import time
 
 import pytest
 import uuid6
 
-from chicorypost.daemons.tests.control_processes import ControlProcesses, wait_for
+from chicorypost.commands._exit import ExitCode
+from chicorypost.daemons.tests import control_processes
+from chicorypost.daemons.tests.control_processes import (
+    TIMEOUT_SECONDS,
+    ControlProcesses,
+    wait_for,
+)
 
 SUPERVISION_SECONDS = 0.2
 """Interval at which a supervisor looks for instances that have ended."""
@@ -135,6 +143,38 @@
     assert "chicorypost-out-of-touch-since" in dict(local.headers)
 
 
+def test_ports_of_an_ended_instance_are_given_to_no_other_process(cluster):
+    """A port that is taken while no instance listens on it keeps the instance from starting.
+
+    The cluster is formed by all instances, so it then never has a leader.
+    """
+    name = cluster.names[0]
+    cluster.kill(name)
+    for ports in (cluster.control_ports, cluster.operator_ports, cluster.admin_ports):
+        with socket.socket() as other, pytest.raises(OSError) as refused:
+            other.bind(("127.0.0.1", ports[name]))
+        assert refused.value.errno == errno.EADDRINUSE
+    cluster.start(name)
+    wait_for(lambda: cluster.get_status(name)["leader"])
+
+
+def test_a_missing_leader_is_reported_with_what_each_process_said(tmp_path, monkeypatch):
+    """The error output was discarded, so failures of the fixture couldn't be traced."""
+    processes = ControlProcesses(tmp_path, count=1)
+    try:
+        processes.kill("control-0")
+        (tmp_path / "control-0.json").write_text("{}")
+        processes.start("control-0")
+        assert processes.processes["control-0"].wait(TIMEOUT_SECONDS) == ExitCode.USAGE
+        wait_for(lambda: "listen: is missing" in processes.describe())
+        monkeypatch.setattr(control_processes, "TIMEOUT_SECONDS", 0.1)
+        with pytest.raises(AssertionError, match="control-0 ended with exit code 2") as failed:
+            processes.wait_for_leader()
+        assert "listen: is missing" in str(failed.value)
+    finally:
+        processes.stop()
+
+
 @pytest.fixture
 def supervised_cluster(cluster):
     """Return a cluster whose instances are started again when they end."""
