Judgements of upstreams travel with the feed to balancers

Cause: each balancer learns on its own that an upstream hangs or is slow; what control instances judge by the reports of several balancers has to reach all of them. Change: ListedUpstream has a last field `judgement` (default none). Feed adds it to the pages for the present run; it is neither saved nor sent to other control instances. DirectoryView merges those of connected control instances (the strongest counts) into VisibleUpstream. Nothing sets one yet. Result: records of earlier builds are read, and they read those of this build (test).

--- a/chicorypost/announcements/_feed.py
+++ b/chicorypost/announcements/_feed.py
@@ -1,7 +1,7 @@
 """The feed of a control instance: pages of changes for each subscribed balancer."""
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 import msgspec
 
@@ -11,7 +11,7 @@
     FeedPage,
     Subscribe,
 )
-from chicorypost.announcements._records import ListedUpstream
+from chicorypost.announcements._records import ListedUpstream, RunJudgement
 from chicorypost.announcements._settings import AnnouncementSettings
 from chicorypost.announcements._table import AnnouncementTable
 from chicorypost.base import Effect, InstanceId, Instant, Send, UpstreamId, Version
@@ -83,6 +83,8 @@
         self.document_changes: deque[RoutingChange] = deque(maxlen=KEPT_DOCUMENT_CHANGES)
         """The latest changes of the configuration, in order."""
         self.is_complete = False
+        self.judgements: dict[UpstreamId, RunJudgement] = {}
+        """Judgements by the reports of balancers; sent with the pages, and nowhere else."""
 
     def subscribe(
         self,
@@ -105,9 +107,9 @@
         self.subscribers[sender] = Subscriber(now, expires_at)
         if message.is_new_connection is not None and self._has_changes_since(message):
             names = [name for name, at in self.changed_at.items() if at > message.position]
-            listed = self.table.list_upstreams(now, names)
+            listed = self._list_upstreams(now, names)
             return [Send(sender, self._make_page(listed, message.position))]
-        listed = self.table.list_upstreams(now, list(self.table.entries))
+        listed = self._list_upstreams(now, list(self.table.entries))
         return [Send(sender, self._make_page(listed, None))]
 
     def _is_current(self, subscriber: Subscriber, message: Subscribe, now: Instant) -> bool:
@@ -141,6 +143,18 @@
             return None
         return Instant(self.next_page_at - self.settings.page_burst * self.settings.page_seconds)
 
+    def set_judgements(
+        self, judgements: Mapping[UpstreamId, RunJudgement | None], now: Instant
+    ) -> list[Effect]:
+        """Store changed judgements and send their upstreams to every subscriber."""
+        for name, item in judgements.items():
+            if item is None:
+                self.judgements.pop(name, None)
+            else:
+                self.judgements[name] = item
+        listed = [name for name in judgements if name in self.table.entries]
+        return self.publish(listed, self.is_complete, now) if listed else []
+
     def mark_complete(self, now: Instant) -> list[Effect]:
         """Tell every subscriber that the table is complete."""
         self.is_complete = True
@@ -184,13 +198,14 @@
         A balancer that has not got the last change of one of them needs the full table.
         """
         for name in names:
+            self.judgements.pop(name, None)
             changed_at = self.changed_at.pop(name, 0)
             self.oldest_position = max(self.oldest_position, changed_at)
 
     def _send_pages(self, now: Instant) -> list[Effect]:
         previous_position, self.position = self.position, self.position + 1
         self.changed_at |= dict.fromkeys(self.unsent, self.position)
-        listed = self.table.list_upstreams(now, list(self.unsent))
+        listed = self._list_upstreams(now, list(self.unsent))
         self.unsent.clear()
         self.next_page_at = Instant(max(self.next_page_at, now) + self.settings.page_seconds)
         page = self._make_page(listed, previous_position)
@@ -198,6 +213,17 @@
             subscriber.sent_at = now
         return [Send(name, page) for name in self.subscribers]
 
+    def _list_upstreams(self, now: Instant, names: list[UpstreamId]) -> tuple[ListedUpstream, ...]:
+        """Return entries of the table with the judgements of their present runs."""
+        listed = self.table.list_upstreams(now, names)
+        return tuple(map(self._add_judgement, listed)) if self.judgements else listed
+
+    def _add_judgement(self, item: ListedUpstream) -> ListedUpstream:
+        judged = self.judgements.get(item.announcement.upstream)
+        if judged is None or judged.started_at_ms != item.announcement.started_at_ms:
+            return item
+        return msgspec.structs.replace(item, judgement=judged.judgement)
+
     def _make_page(self, listed: tuple[ListedUpstream, ...], since: int | None) -> FeedPage:
         """Return a page with the changes since a position, or the full table if that is None."""
         return FeedPage(
--- a/chicorypost/announcements/_records.py
+++ b/chicorypost/announcements/_records.py
@@ -80,16 +80,43 @@
     sequence: int | None
 
 
+class JudgedState(Enum):
+    """What the reports of several balancers show of an upstream."""
+
+    UNRESPONSIVE = 1
+    SLOW = 2
+
+
+class Judgement(Record, frozen=True, array_like=True):
+    """Judgement of an upstream by the reports of balancers.
+
+    `slowness_percent` is the factor by which its responses take longer than what counts as usual,
+    in percent; 100 unless the state is `SLOW`.
+    """
+
+    state: JudgedState
+    slowness_percent: int = 100
+
+
+class RunJudgement(msgspec.Struct, frozen=True):
+    """Judgement of one run of an upstream."""
+
+    started_at_ms: int
+    judgement: Judgement
+
+
 class ListedUpstream(Record, frozen=True, array_like=True):
     """Table entry of an upstream as sent to other instances.
 
     `is_silent` is true if the last contact known to the sender, its own or that of a peer, is too
-    long ago; `age_ms` is the time since that contact, in milliseconds.
+    long ago; `age_ms` is the time since that contact, in milliseconds. `judgement` is sent to
+    balancers only; it is missing in records of earlier builds.
     """
 
     announcement: Announcement
     is_silent: bool
     age_ms: int
+    judgement: Judgement | None = None
 
 
 class AnnouncementOutcome(Enum):
@@ -147,6 +174,12 @@
     listed: tuple[ListedUpstream, ...]
 
 
+class JudgementsChanged(Event, Effect, msgspec.Struct, frozen=True):
+    """Judgements of upstreams that have changed; None for those that have ended."""
+
+    judgements: dict[UpstreamId, RunJudgement | None]
+
+
 class PeersChanged(Event, msgspec.Struct, frozen=True):
     """The peers of this control instance, and all control instances as sent to balancers."""
 
--- a/chicorypost/announcements/_registry.py
+++ b/chicorypost/announcements/_registry.py
@@ -19,6 +19,7 @@
 from chicorypost.announcements._records import (
     AnnouncedStatus,
     AnnouncementOutcome,
+    JudgementsChanged,
     LeaveNotice,
     ListedUpstream,
     PeerConnected,
@@ -126,6 +127,8 @@
                 self._restore_table(listed, now)
             case TableSaved(change_number):
                 self._record_save(change_number)
+            case JudgementsChanged(judgements):
+                self.effects += self.feed.set_judgements(judgements, now)
             case VersionApplied(document):
                 self.effects += self.feed.set_document(document, now)
             case Tick():
--- a/chicorypost/announcements/_view.py
+++ b/chicorypost/announcements/_view.py
@@ -16,6 +16,8 @@
 from chicorypost.announcements._records import (
     AnnouncedStatus,
     Announcement,
+    JudgedState,
+    Judgement,
     ListedUpstream,
     PeerConnected,
     PeerDisconnected,
@@ -51,6 +53,8 @@
     is_silent: bool
     warmup_ends_at: Instant
     """End of the warm-up, until which the upstream is slow."""
+    judgement: Judgement | None = None
+    """Judgement of this run by the reports of balancers."""
 
 
 class VisibleUpstreamsChanged(Event, Effect, msgspec.Struct, frozen=True):
@@ -110,7 +114,8 @@
     -----
     The latest call of an upstream over all feeds counts. An upstream is silent when no connected
     control instance lists it as reachable and at least one of them has a complete table. Without
-    any connection the view doesn't change. The configuration version never decreases.
+    any connection the view doesn't change, but for judgements, which end. The configuration version
+    never decreases.
     """
 
     def __init__(
@@ -267,7 +272,27 @@
             remaining_ms = max(0, announcement.warmup_ms - latest.age_ms)
             warmup_ends_at = Instant(now + remaining_ms / MS_PER_SECOND)
         is_silent = self._is_silent(name, announcement, known)
-        return VisibleUpstream(announcement, is_silent, warmup_ends_at)
+        judgement = self._merge_judgements(name, announcement)
+        return VisibleUpstream(announcement, is_silent, warmup_ends_at, judgement)
+
+    def _merge_judgements(self, name: UpstreamId, announcement: Announcement) -> Judgement | None:
+        """Return the strongest judgement of any connected control instance for a run.
+
+        A control instance without reports says the same as one that judges an upstream to be well,
+        so a majority of them would say little: unresponsive goes before slow, and of several slow
+        ones the least factor counts.
+        """
+        judgements = [
+            feed.listed[name].judgement
+            for feed in self.feeds.values()
+            if feed.is_connected and feed.is_current and name in feed.listed
+            if feed.listed[name].announcement.started_at_ms == announcement.started_at_ms
+        ]
+        return min(
+            (item for item in judgements if item is not None),
+            key=lambda item: (item.state is JudgedState.SLOW, item.slowness_percent),
+            default=None,
+        )
 
     def _is_silent(
         self, name: UpstreamId, announcement: Announcement, known: VisibleUpstream | None
--- a/chicorypost/announcements/tests/test_random_messages.py
+++ b/chicorypost/announcements/tests/test_random_messages.py
@@ -8,6 +8,8 @@
     AnnouncementRegistry,
     DirectoryView,
     FeedPage,
+    JudgedState,
+    Judgement,
     ListedUpstream,
     PeerConnected,
     PeerDisconnected,
@@ -39,6 +41,7 @@
         ),
         st.booleans(),
         numbers,
+        st.none() | st.builds(Judgement, st.sampled_from(JudgedState), numbers),
     ),
     max_size=3,
 ).map(tuple)
