Control instances judge upstreams by the reports of balancers

Cause: with 100 balancers and 75 upstreams no balancer sees enough of an upstream to tell that it hangs. Change: ReportObservations (tag 815) and ObservationJudge, a state machine without I/O: at least two balancers report the same of the present run and fewer have answers; at most half of a service; a balancer that accuses more than half counts for nothing; reports expire after 3 s, end with the connection and are ordered by run and number. Odd observations are ignored and logged. There is no setting: without reports there is no judgement.

--- a/chicorypost/events/_catalogue.py
+++ b/chicorypost/events/_catalogue.py
@@ -2,7 +2,8 @@
 
 Each package defines its events in its own ``_events.py``: base and daemons 1-99, consensus 100-199,
 configuration 200-299, membership 300-399, flows 400-499, upstreams 500-599, requests 600-699,
-transport 700-799, announcements and cookies 800-899; roles use 40-59 of the first range.
+transport 700-799, announcements, cookies and observations 800-899; roles use 40-59 of the first
+range.
 """
 
 from collections.abc import Mapping
--- a/chicorypost/roles/_control.py
+++ b/chicorypost/roles/_control.py
@@ -15,6 +15,8 @@
     REGISTRY_MESSAGES,
     AnnouncementRegistry,
     AnnouncementSettings,
+    JudgedState,
+    JudgementsChanged,
     ListedUpstream,
     PeerConnected,
     PeerDisconnected,
@@ -47,6 +49,7 @@
 from chicorypost.daemons._events import STARTED
 from chicorypost.daemons._stop import StopControl
 from chicorypost.metrics import PlainMetrics
+from chicorypost.observations import ObservationJudge, ObservationSettings, ReportObservations
 from chicorypost.platform import NodeSettings, read_configuration
 from chicorypost.roles._admin import serve_admin
 from chicorypost.roles._announcement_table_file import AnnouncementTableFile
@@ -119,6 +122,7 @@
         announcements = AnnouncementSettings(interval_seconds=settings.announcement_seconds)
         feed = random.getrandbits(48) + 1
         self.registry = AnnouncementRegistry(announcements, feed, self.engine.now())
+        self.judge = ObservationJudge(ObservationSettings(), self.registry.table, self.engine.now())
         self.known_controls: tuple[InstanceId, ...] = ()
         self._register_state_machines()
         hello = ConnectionHello(
@@ -146,10 +150,16 @@
             VersionApplied,
             TableRestored,
             TableSaved,
+            JudgementsChanged,
         )
         self.engine.register(
             Registration("announcements", self.registry, REGISTRY_MESSAGES, events, True)
         )
+        self.engine.register(
+            Registration(
+                "observations", self.judge, (ReportObservations,), (PeerDisconnected,), True
+            )
+        )
 
     def _make_http_server(self) -> HttpServer:
         http = HttpSettings(body_bytes=MAX_DOCUMENT_BYTES)
@@ -218,12 +228,17 @@
     def metrics(self) -> PlainMetrics:
         """Return the metrics of this process."""
         return PlainMetrics(
-            lambda: {"events": self.event_log.counts_by_name()},
+            lambda: {
+                "events": self.event_log.counts_by_name(),
+                "observation_reports": dict(self.judge.counters),
+            },
             lambda: {
                 "configuration_version": self.routing_state.version,
                 "leading": float(self.is_leading()),
                 "disk_refuses": float(self.replica_host.replica is None),
                 "upstreams": len(self.registry.table.entries),
+                "judged_unresponsive_upstreams": self.judge.count_judged(JudgedState.UNRESPONSIVE),
+                "judged_slow_upstreams": self.judge.count_judged(JudgedState.SLOW),
                 "subscribers": len(self.registry.feed.subscribers),
                 "caller_connections": self.http_server.open_connections,
                 "evicted_caller_connections": self.http_server.evicted_connections,
