Balancers report what they observe and follow judgements, with the setting

Cause: an upstream that accepts flows and answers no request looks well to a balancer that has no request there. Change: with `balancing.shared_observations` UpstreamObserver looks four times a second at upstreams with requests in progress and at suspected ones, and reports changes to the first two connected control instances, within 1,000 bytes a second. The chooser excludes upstreams judged unresponsive within suspect_share and weighs slow ones. Own answers within a second go first; the return after a judgement is spread over 2 s. Balancers without the setting import and do none of it.

--- a/benchmarks/load_model/policies.py
+++ b/benchmarks/load_model/policies.py
@@ -1,4 +1,5 @@
-"""Policies that choose the upstream of a new flow; ``product`` is the one that chicorypost uses."""
+"""Policies that choose the upstream of a new flow; ``product`` is the one that chicorypost uses,
+and ``shared`` the same with shared observations."""
 
 from collections.abc import Callable
 from itertools import count
@@ -56,7 +57,8 @@
         if not responsive:
             return None
         pair = [self.random.choice(responsive) for _ in range(2)]
-        return min(pair, key=lambda item: self._score(item, now))
+        slowness = self.tracker.response_times.slowness
+        return min(pair, key=lambda item: self._score(item, slowness, now))
 
 
 class LeastLoaded(FlowChooser):
@@ -74,7 +76,10 @@
     "two-choices": TwoChoices,
     "least-loaded": LeastLoaded,
     "product": FlowChooser,
+    "shared": FlowChooser,
 }
+SHARED_POLICY = "shared"
+"""The choice of chicorypost with shared observations."""
 
 COPY_SETTINGS: dict[str, CookieSettings] = {
     "keep-copies": CookieSettings(moved_copy=MAX_COPIES + 1),
--- a/chicorypost/cookies/_choice.py
+++ b/chicorypost/cookies/_choice.py
@@ -1,6 +1,8 @@
 """Selection of the upstream of a new flow."""
 
+from collections.abc import Mapping
 from random import Random
+from typing import TYPE_CHECKING
 
 from chicorypost.announcements import VisibleUpstream
 from chicorypost.base import DataCentreId, Instant, UpstreamId
@@ -9,6 +11,9 @@
 from chicorypost.cookies._settings import CookieSettings
 from chicorypost.cookies._suspects import SuspectedUpstreams
 
+if TYPE_CHECKING:
+    from chicorypost.cookies._judged_upstreams import JudgedUpstreams
+
 
 class FlowChooser:
     """Chooses a data centre by capacity, then the least loaded upstream in it.
@@ -45,6 +50,8 @@
         self.tracker = tracker
         self.suspected_upstreams = suspected_upstreams
         self.random = random
+        self.judged_upstreams: JudgedUpstreams | None = None
+        """Judgements of the control instances; None unless observations are shared."""
 
     def choose(
         self, candidates: ServiceCandidates, data_centres: int, now: Instant
@@ -66,10 +73,18 @@
             The chosen upstream; None if there is no candidate.
         """
         excluded = self._find_excluded(candidates, now)
-        eligible = self._find_eligible(candidates, excluded, data_centres) or list(candidates)
+        slowness: Mapping[UpstreamId, float] = self.tracker.response_times.slowness
+        if self.judged_upstreams is not None:
+            self._exclude_judged(candidates, excluded, now)
+            slowness = self.judged_upstreams.merge_slowness(slowness, now)
+        eligible = self._find_eligible(candidates, excluded, slowness, data_centres) or list(
+            candidates
+        )
         if not eligible:
             return None
-        return min(eligible, key=lambda item: (self._score(item, now), self.random.random()))
+        return min(
+            eligible, key=lambda item: (self._score(item, slowness, now), self.random.random())
+        )
 
     def _find_excluded(
         self, candidates: ServiceCandidates, now: Instant
@@ -85,20 +100,35 @@
         limit = self.settings.suspect_share * candidates.count_reachable()
         return excluded if len(excluded) <= limit else {}
 
+    def _exclude_judged(
+        self,
+        candidates: ServiceCandidates,
+        excluded: dict[UpstreamId, VisibleUpstream],
+        now: Instant,
+    ) -> None:
+        """Exclude upstreams that are judged unresponsive, as far as `suspect_share` allows."""
+        assert self.judged_upstreams is not None
+        limit = self.settings.suspect_share * candidates.count_reachable()
+        for name in self.judged_upstreams.list_excluded(now):
+            item = candidates.find_reachable(name)
+            if item is not None and (name in excluded or len(excluded) + 1 <= limit):
+                excluded[name] = item
+
     def _find_eligible(
         self,
         candidates: ServiceCandidates,
         excluded: dict[UpstreamId, VisibleUpstream],
+        slowness: Mapping[UpstreamId, float],
         data_centres: int,
     ) -> list[VisibleUpstream]:
         """Return the usable upstreams of the data centre chosen for the flow."""
         slots: dict[DataCentreId, float] = dict(candidates.slots)
         for item in excluded.values():
             slots[item.announcement.data_centre] -= item.announcement.slots
-        for name, slowness in self.tracker.response_times.slowness.items():
+        for name, factor in slowness.items():
             slow = candidates.find_reachable(name)
             if slow is not None and name not in excluded:
-                lost_slots = slow.announcement.slots * (1.0 - 1.0 / slowness)
+                lost_slots = slow.announcement.slots * (1.0 - 1.0 / factor)
                 slots[slow.announcement.data_centre] -= lost_slots
         chosen = self._choose_data_centre(slots, data_centres)
         if chosen is None:
@@ -125,12 +155,14 @@
         names = list(spare)
         return self.random.choices(names, [spare[name] for name in names])[0]
 
-    def _score(self, item: VisibleUpstream, now: Instant) -> float:
+    def _score(
+        self, item: VisibleUpstream, slowness: Mapping[UpstreamId, float], now: Instant
+    ) -> float:
         name = item.announcement.upstream
         load = self.tracker.get_load(name)
         idle = load.flows - load.busy_flows - load.opening_flows
         work = load.busy_flows + load.opening_flows + self.settings.idle_flow_weight * idle
-        slowness = self.tracker.response_times.slowness.get(name, 1.0)
+        factor = slowness.get(name, 1.0)
         if now < item.warmup_ends_at:
-            slowness *= self.settings.cold_factor
-        return (work + 1.0) * slowness / max(1, item.announcement.slots)
+            factor *= self.settings.cold_factor
+        return (work + 1.0) * factor / max(1, item.announcement.slots)
--- a/chicorypost/cookies/_response_times.py
+++ b/chicorypost/cookies/_response_times.py
@@ -16,11 +16,13 @@
     """Response time of one upstream, and its requests in progress.
 
     `mean_seconds` is an exponentially weighted mean. `running` holds the start of each request
-    without a response, oldest first.
+    without a response, oldest first. `responses` counts those since the last time without any
+    for `response_memory_seconds`.
     """
 
     mean_seconds: float = 0.0
     answered_at: Instant = NEVER
+    responses: int = 0
     running: dict[FlowKey, Instant] = msgspec.field(default_factory=dict)
 
 
@@ -50,6 +52,8 @@
         self.upstreams: dict[UpstreamId, UpstreamResponses] = {}
         self.slowness: dict[UpstreamId, float] = {}
         """Slowness of the upstreams that are slow; a factor above 1."""
+        self.usual_seconds: dict[UpstreamId, float] = {}
+        """Usual response time of the service of each upstream that is compared."""
 
     def start_request(self, flow: FlowKey, upstream: UpstreamId, now: Instant) -> None:
         """Record that a request has started; a flow has one request at a time."""
@@ -68,6 +72,7 @@
         seconds = now - started_at
         is_first = entry.answered_at == NEVER
         weight = 1.0 if is_first else self.settings.response_weight
+        entry.responses = entry.responses + 1 if self._is_recent(entry, now) else 1
         entry.mean_seconds += weight * (seconds - entry.mean_seconds)
         entry.answered_at = now
 
@@ -86,7 +91,7 @@
         self, services: Iterable[Iterable[UpstreamId]], now: Instant
     ) -> dict[UpstreamId, float]:
         """Update and return the slowness; `services` are the upstreams of each service."""
-        self.slowness = {}
+        self.slowness, self.usual_seconds = {}, {}
         for names in services:
             known = {name: self.upstreams[name] for name in names if name in self.upstreams}
             means = [entry.mean_seconds for entry in known.values() if self._is_recent(entry, now)]
@@ -94,6 +99,7 @@
                 continue
             usual_seconds = max(_median(means), self.settings.min_usual_seconds)
             for name, entry in known.items():
+                self.usual_seconds[name] = usual_seconds
                 factor = self._estimate_seconds(entry, now) / usual_seconds
                 slowness = min(factor / self.settings.usual_slowness, self.settings.max_slowness)
                 if slowness > 1.0:
--- a/chicorypost/cookies/_router.py
+++ b/chicorypost/cookies/_router.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 from random import Random
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from chicorypost.announcements import (
     AnnouncedStatus,
@@ -46,6 +46,9 @@
 from chicorypost.cookies._suspects import SuspectedUpstreams
 from chicorypost.routing import NO_VERSION, Route, RoutingDocument
 
+if TYPE_CHECKING:
+    from chicorypost.cookies._judged_upstreams import JudgedUpstreams
+
 EXPIRY_INTERVAL_SECONDS = 0.5
 """Interval of the removal of expired flows; short compared to the time limit for an opening."""
 
@@ -93,6 +96,7 @@
         self.chooser = FlowChooser(
             settings, data_centre, self.tracker, self.suspected_upstreams, random
         )
+        self.judged_upstreams = self._track_judgements(random)
         self.document: RoutingDocument | None = None
         self.routes: dict[Address, Route] = {}
         self.index = UpstreamIndex()
@@ -104,6 +108,22 @@
         self.next_expiry_at = Instant(now + EXPIRY_INTERVAL_SECONDS)
         self.effects: list[Effect] = []
 
+    def _track_judgements(self, random: Random) -> "JudgedUpstreams | None":
+        if not self.balancing.shared_observations:
+            return None
+        # Imported here because balancers without the setting never need it.
+        from chicorypost.cookies._judged_upstreams import JudgedUpstreams
+        from chicorypost.observations import ObservationSettings
+
+        judged_upstreams = JudgedUpstreams(
+            ObservationSettings(),
+            self.settings.max_slowness,
+            self.tracker.response_times,
+            random,
+        )
+        self.chooser.judged_upstreams = judged_upstreams
+        return judged_upstreams
+
     def handle(self, event: Event, now: Instant) -> list[Effect]:
         """Process one event and return the effects."""
         match event:
@@ -147,6 +167,7 @@
                 if entry.suspicion_count
             },
             "slowness": dict(self.tracker.response_times.slowness),
+            **(self.judged_upstreams.dump() if self.judged_upstreams is not None else {}),
             "counters": self.count_packets(),
         }
 
@@ -309,6 +330,8 @@
         for name in removed:
             self.tracker.remove_upstream(name)
             self.suspected_upstreams.remove(name)
+            if self.judged_upstreams is not None:
+                self.judged_upstreams.remove(name)
             self.gone_at.pop(name, None)
         for name in self.index.update(changed, removed):
             self.effects.append(COOKIE_CONFLICT.emit(upstream=name))
@@ -325,6 +348,8 @@
             self.suspected_upstreams.remove(name)
             self.tracker.response_times.remove_upstream(name)
             self.gone_at.pop(name, None)
+        if self.judged_upstreams is not None:
+            self.effects += self.judged_upstreams.update(previous, item, now)
         if item.announcement.status is AnnouncedStatus.GONE:
             self.gone_at.setdefault(name, now)
         else:
--- a/chicorypost/cookies/_suspects.py
+++ b/chicorypost/cookies/_suspects.py
@@ -13,6 +13,8 @@
 
     answered_at: Instant = NEVER
     unanswered_openings: int = 0
+    unanswered_since: Instant = NEVER
+    """Start of the first of these openings."""
     suspicion_count: int = 0
     suspected_until: Instant = NEVER
 
@@ -50,6 +52,8 @@
         if self.has_answered(upstream, opened_at):
             # The upstream has answered since this opening was sent, so only the packet was lost.
             return False
+        if not entry.unanswered_openings:
+            entry.unanswered_since = opened_at
         entry.unanswered_openings += 1
         if now < entry.suspected_until:
             return False
--- a/chicorypost/roles/_balancer.py
+++ b/chicorypost/roles/_balancer.py
@@ -164,7 +164,7 @@
 
     def metrics(self) -> PlainMetrics:
         """Return the metrics of this process."""
-        tracker = self.router.tracker
+        tracker, judged = self.router.tracker, self.router.judged_upstreams
         return PlainMetrics(
             lambda: {
                 "events": self.event_log.counts_by_name(),
@@ -177,6 +177,9 @@
                 "upstreams": len(self.router.upstreams),
                 "link_waiting_seconds": self.core.pacer.waiting_seconds,
                 "silent_upstreams": sum(item.is_silent for item in self.router.upstreams.values()),
+                "judged_unresponsive_upstreams": len(judged.unresponsive) if judged else 0,
+                "judged_slow_upstreams": len(judged.slowness) if judged else 0,
+                "observation_reports": self.core.observer.number if self.core.observer else 0,
             },
             {
                 "flow_opening_seconds": tracker.opening_seconds,
--- a/chicorypost/roles/_balancer_core.py
+++ b/chicorypost/roles/_balancer_core.py
@@ -2,6 +2,7 @@
 
 import time
 from random import Random
+from typing import TYPE_CHECKING
 
 from chicorypost.announcements import (
     VIEW_MESSAGES,
@@ -23,6 +24,9 @@
 from chicorypost.transport import NOT_LISTENING_PORT, ConnectionHello, open_packet_socket
 from chicorypost.transport._events import UNEXPECTED_ERROR
 
+if TYPE_CHECKING:
+    from chicorypost.cookies._observer import UpstreamObserver
+
 SOCKET_BUFFER_BYTES = 512 * 1024
 
 
@@ -54,17 +58,26 @@
             settings.balancing,
             settings.cold_start_limits,
         )
-        self.packet_socket = open_packet_socket(settings.packets, SOCKET_BUFFER_BYTES)
-        self.pacer = LinkPacer(PacingSettings(settings.link_bytes_per_second))
-        self.forwarder = Forwarder(
-            self.router, self.packet_socket, settings.packets.port, self.pacer, event_log
-        )
         self.hello = ConnectionHello(
             InstanceId(settings.host),
             Incarnation(time.time_ns() // 1_000_000),
             settings.data_centre,
             Endpoint(settings.host, NOT_LISTENING_PORT),
         )
+        self.observer = self._make_observer(now)
+        self.packet_socket = open_packet_socket(settings.packets, SOCKET_BUFFER_BYTES)
+        self.pacer = LinkPacer(PacingSettings(settings.link_bytes_per_second))
+        self.forwarder = Forwarder(
+            self.router, self.packet_socket, settings.packets.port, self.pacer, event_log
+        )
+
+    def _make_observer(self, now: Instant) -> "UpstreamObserver | None":
+        if self.router.judged_upstreams is None:
+            return None
+        from chicorypost.cookies._observer import UpstreamObserver
+
+        settings, run = self.router.judged_upstreams.settings, self.hello.incarnation
+        return UpstreamObserver(settings, self.router, self.router.judged_upstreams, run, now)
 
     def register_state_machines(self, dispatcher: EventDispatcher) -> None:
         """Register the state machines with a dispatcher."""
@@ -72,6 +85,9 @@
         dispatcher.register(Registration("view", self.view, VIEW_MESSAGES, events, True))
         flow_events = (RoutingApplied, VisibleUpstreamsChanged)
         dispatcher.register(Registration("flows", self.router, (), flow_events, True))
+        if self.observer is not None:
+            links = (PeerConnected, PeerDisconnected)
+            dispatcher.register(Registration("observations", self.observer, (), links, True))
 
     def forward_batch(self, dispatcher: EventDispatcher) -> None:
         """Forward waiting packets and execute the effects of the router.
--- a/chicorypost/roles/tests/test_imports.py
+++ b/chicorypost/roles/tests/test_imports.py
@@ -22,6 +22,7 @@
         "chicorypost.consensus",
         "chicorypost.configuration",
         "chicorypost.announcements._registry",
+        "chicorypost.observations",
         "h11",
     },
     "control": EXPENSIVE_IMPORTS | {"chicorypost.configuration"},
