--- a/chicorypost/announcements/_registry.py
+++ b/chicorypost/announcements/_registry.py
@@ -20,6 +20,7 @@
     AnnouncedStatus,
     AnnouncementOutcome,
     EvacuationsChanged,
+    JudgementsChanged,
     LeaveNotice,
     ListedUpstream,
     PeerConnected,
@@ -127,6 +128,8 @@
                 self._restore_table(listed, now)
             case TableSaved(change_number):
                 self._record_save(change_number)
+            case JudgementsChanged(judgements):
+                self.effects += self.feed.set_judgements(judgements, now)
             case VersionApplied(document):
                 self.effects += self.feed.set_document(document, now)
             case EvacuationsChanged(evacuations):
--- a/chicorypost/roles/_balancer.py
+++ b/chicorypost/roles/_balancer.py
@@ -170,6 +170,7 @@
     def metrics(self) -> PlainMetrics:
         """Return the metrics of this process."""
         tracker, cold_starts = self.router.tracker, self.router.cold_starts
+        judged = self.router.judged_upstreams
         return PlainMetrics(
             lambda: {
                 "events": self.event_log.counts_by_name(),
@@ -184,6 +185,9 @@
                 "link_waiting_seconds": self.core.pacer.waiting_seconds,
                 "cold_upstreams": len(cold_starts.cold_until) if cold_starts is not None else 0,
                 "silent_upstreams": sum(item.is_silent for item in self.router.upstreams.values()),
+                "judged_unresponsive_upstreams": len(judged.unresponsive) if judged else 0,
+                "judged_slow_upstreams": len(judged.slowness) if judged else 0,
+                "observation_reports": self.core.observer.number if self.core.observer else 0,
             },
             {
                 "flow_opening_seconds": tracker.opening_seconds,
--- a/chicorypost/roles/_control.py
+++ b/chicorypost/roles/_control.py
@@ -16,6 +16,8 @@
     AnnouncementRegistry,
     AnnouncementSettings,
     EvacuationsChanged,
+    JudgedState,
+    JudgementsChanged,
     ListedUpstream,
     PeerConnected,
     PeerDisconnected,
@@ -56,6 +58,7 @@
     read_evacuation_snapshot,
 )
 from chicorypost.metrics import PlainMetrics
+from chicorypost.observations import ObservationJudge, ObservationSettings, ReportObservations
 from chicorypost.platform import NodeSettings, read_configuration
 from chicorypost.roles._admin import serve_admin
 from chicorypost.roles._announcement_table_file import AnnouncementTableFile
@@ -137,6 +140,7 @@
         announcements = AnnouncementSettings(interval_seconds=settings.announcement_seconds)
         feed = random.getrandbits(48) + 1
         self.registry = AnnouncementRegistry(announcements, feed, self.engine.now())
+        self.judge = ObservationJudge(ObservationSettings(), self.registry.table, self.engine.now())
         self.known_controls: tuple[InstanceId, ...] = ()
         self._register_state_machines()
         hello = ConnectionHello(
@@ -177,10 +181,16 @@
             EvacuationsChanged,
             TableRestored,
             TableSaved,
+            JudgementsChanged,
         )
         self.engine.register(
             Registration("announcements", self.registry, REGISTRY_MESSAGES, events, True)
         )
+        self.engine.register(
+            Registration(
+                "observations", self.judge, (ReportObservations,), (PeerDisconnected,), True
+            )
+        )
 
     def _make_http_server(self) -> HttpServer:
         http = HttpSettings(body_bytes=MAX_DOCUMENT_BYTES)
@@ -301,13 +311,18 @@
     def metrics(self) -> PlainMetrics:
         """Return the metrics of this process."""
         return PlainMetrics(
-            lambda: {"events": self.event_log.counts_by_name()},
+            lambda: {
+                "events": self.event_log.counts_by_name(),
+                "observation_reports": dict(self.judge.counters),
+            },
             lambda: {
                 "configuration_version": self.routing_state.version,
                 "evacuated_data_centres": len(self.published_evacuations.data_centres),
                 "leading": float(self.is_leading()),
                 "disk_refuses": float(self.replica_host.replica is None),
                 "upstreams": len(self.registry.table.entries),
+                "judged_unresponsive_upstreams": self.judge.count_judged(JudgedState.UNRESPONSIVE),
+                "judged_slow_upstreams": self.judge.count_judged(JudgedState.SLOW),
                 "subscribers": len(self.registry.feed.subscribers),
                 "caller_connections": self.http_server.open_connections,
                 "evicted_caller_connections": self.http_server.evicted_connections,
