A command that explains where an opening would go now

Cause: operators can read only afterwards, from the logs, why a flow went where it went. Change: `chicorypost route` asks the admin listener of a balancer (`/route`). explain_opening uses the methods of FlowChooser that make the choice; for this its exclusions, slots and shares of the data centres are methods of their own, and reading a load no longer creates an entry.

--- a/benchmarks/load_model/policies.py
+++ b/benchmarks/load_model/policies.py
@@ -58,7 +58,7 @@
             return None
         pair = [self.random.choice(responsive) for _ in range(2)]
         slowness = self.tracker.response_times.slowness
-        return min(pair, key=lambda item: self._score(item, slowness, now))
+        return min(pair, key=lambda item: self.score(item, slowness, now))
 
 
 class LeastLoaded(FlowChooser):
--- a/chicorypost/commands/_main.py
+++ b/chicorypost/commands/_main.py
@@ -11,6 +11,7 @@
 from chicorypost.commands._evacuation import EvacuationGroup
 from chicorypost.commands._explain import ExplainCommand
 from chicorypost.commands._keys import KeysCommand
+from chicorypost.commands._route import RouteCommand
 from chicorypost.commands._settings import SettingsCommand
 from chicorypost.commands._status import StatusCommand
 
@@ -37,6 +38,7 @@
         | DumpCommand
         | ExplainCommand
         | KeysCommand
+        | RouteCommand
         | SettingsCommand
     ]
 
--- a/chicorypost/cookies/_choice.py
+++ b/chicorypost/cookies/_choice.py
@@ -78,11 +78,8 @@
         VisibleUpstream, ResetReason or None
             The chosen upstream, or why the flow is reset; None if there is no candidate.
         """
-        excluded = self._find_excluded(candidates, now)
-        slowness: Mapping[UpstreamId, float] = self.tracker.response_times.slowness
-        if self.judged_upstreams is not None:
-            self._exclude_judged(candidates, excluded, now)
-            slowness = self.judged_upstreams.merge_slowness(slowness, now)
+        excluded = self.find_excluded(candidates, now)
+        slowness = self.get_slowness(now)
         if self.cold_starts is not None:
             cold = self.cold_starts.find_cold(candidates, now)
             if cold:
@@ -137,10 +134,29 @@
         now: Instant,
     ) -> VisibleUpstream:
         return min(
-            eligible, key=lambda item: (self._score(item, slowness, now), self.random.random())
+            eligible, key=lambda item: (self.score(item, slowness, now), self.random.random())
         )
 
-    def _find_excluded(
+    def find_excluded(
+        self, candidates: ServiceCandidates, now: Instant
+    ) -> dict[UpstreamId, VisibleUpstream]:
+        """Return the upstreams that are suspected or judged unresponsive.
+
+        Neither is excluded if that would be too large a share of the service.
+        """
+        excluded = self._find_suspected(candidates, now)
+        if self.judged_upstreams is not None:
+            self._exclude_judged(candidates, excluded, now)
+        return excluded
+
+    def get_slowness(self, now: Instant) -> Mapping[UpstreamId, float]:
+        """Return the slowness of the upstreams that are slow."""
+        slowness = self.tracker.response_times.slowness
+        if self.judged_upstreams is None:
+            return slowness
+        return self.judged_upstreams.merge_slowness(slowness, now)
+
+    def _find_suspected(
         self, candidates: ServiceCandidates, now: Instant
     ) -> dict[UpstreamId, VisibleUpstream]:
         """Return the suspected upstreams, unless they are too large a share of the service."""
@@ -176,6 +192,21 @@
         data_centres: int,
     ) -> list[VisibleUpstream]:
         """Return the usable upstreams of the data centre chosen for the flow."""
+        slots = self._compute_slots(candidates, excluded, slowness)
+        chosen = self._choose_data_centre(slots, data_centres)
+        if chosen is None:
+            usable = candidates.list_reachable()
+        else:
+            usable = list(candidates.reachable[chosen].values())
+        return [item for item in usable if item.announcement.upstream not in excluded]
+
+    def _compute_slots(
+        self,
+        candidates: ServiceCandidates,
+        excluded: Mapping[UpstreamId, VisibleUpstream],
+        slowness: Mapping[UpstreamId, float],
+    ) -> dict[DataCentreId, float]:
+        """Return the slots of each data centre that count for new flows."""
         slots: dict[DataCentreId, float] = dict(candidates.slots)
         for item in excluded.values():
             slots[item.announcement.data_centre] -= item.announcement.slots
@@ -184,12 +215,7 @@
             if slow is not None and name not in excluded:
                 lost_slots = slow.announcement.slots * (1.0 - 1.0 / factor)
                 slots[slow.announcement.data_centre] -= lost_slots
-        chosen = self._choose_data_centre(slots, data_centres)
-        if chosen is None:
-            usable = candidates.list_reachable()
-        else:
-            usable = list(candidates.reachable[chosen].values())
-        return [item for item in usable if item.announcement.upstream not in excluded]
+        return slots
 
     def _choose_data_centre(
         self, slots: dict[DataCentreId, float], data_centres: int
@@ -199,21 +225,48 @@
         own = slots.get(self.data_centre, 0)
         if self.random.random() * fair_share < own:
             return self.data_centre
-        spare = {
-            name: max(0.0, count - fair_share)
-            for name, count in slots.items()
-            if name != self.data_centre
-        }
+        spare = self._find_spare_slots(slots, fair_share)
         if not any(spare.values()):
             return None
         names = list(spare)
         return self.random.choices(names, [spare[name] for name in names])[0]
 
-    def _score(
+    def compute_shares(
+        self,
+        candidates: ServiceCandidates,
+        excluded: Mapping[UpstreamId, VisibleUpstream],
+        slowness: Mapping[UpstreamId, float],
+        data_centres: int,
+    ) -> dict[DataCentreId | None, float]:
+        """Return the probability of each data centre for a new flow; None stands for any."""
+        slots = self._compute_slots(candidates, excluded, slowness)
+        fair_share = sum(slots.values()) / max(1, data_centres)
+        own = slots.get(self.data_centre, 0)
+        own_share = min(1.0, own / fair_share) if fair_share > 0 else 0.0
+        spare = self._find_spare_slots(slots, fair_share)
+        total = sum(spare.values())
+        shares: dict[DataCentreId | None, float] = {self.data_centre: own_share}
+        if total <= 0:
+            return shares | {None: 1.0 - own_share}
+        rest = 1.0 - own_share
+        return shares | {name: rest * count / total for name, count in spare.items()}
+
+    def _find_spare_slots(
+        self, slots: Mapping[DataCentreId, float], fair_share: float
+    ) -> dict[DataCentreId, float]:
+        """Return the slots of each other data centre beyond its fair share."""
+        return {
+            name: max(0.0, count - fair_share)
+            for name, count in slots.items()
+            if name != self.data_centre
+        }
+
+    def score(
         self, item: VisibleUpstream, slowness: Mapping[UpstreamId, float], now: Instant
     ) -> float:
+        """Return the load of an upstream for its slots; the lowest one gets the flow."""
         name = item.announcement.upstream
-        load = self.tracker.get_load(name)
+        load = self.tracker.read_load(name)
         idle = load.flows - load.busy_flows - load.opening_flows
         work = load.busy_flows + load.opening_flows + self.settings.idle_flow_weight * idle
         factor = slowness.get(name, 1.0)
--- a/chicorypost/cookies/_flows.py
+++ b/chicorypost/cookies/_flows.py
@@ -39,6 +39,10 @@
     busy_flows: int = 0
 
 
+NO_LOAD = UpstreamLoad()
+"""Load of an upstream without flows; must not be changed."""
+
+
 class FlowTracker:
     """Tracks flows, counts flows and requests per upstream, and measures response times.
 
@@ -66,6 +70,10 @@
             load = self.loads[upstream] = UpstreamLoad()
         return load
 
+    def read_load(self, upstream: UpstreamId) -> UpstreamLoad:
+        """Return the load of an upstream for reading only."""
+        return self.loads.get(upstream, NO_LOAD)
+
     def record_opening(self, flow: FlowKey, upstream: UpstreamId, now: Instant) -> None:
         """Record that a flow is being opened at an upstream."""
         self.remove_flow(flow)
--- a/chicorypost/daemons/_admin.py
+++ b/chicorypost/daemons/_admin.py
@@ -1,7 +1,7 @@
 """HTTP endpoints for liveness, readiness, state dumps and metrics."""
 
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -29,11 +29,15 @@
         Returns the state served at ``/dump``.
     unready_reason : callable
         Returns why the process is not ready, or an empty string when it is ready.
+    explain_route : callable, optional
+        Returns where an opening would go, for the query of ``/route``, as JSON-compatible values;
+        raises ValueError if the query is invalid. None for a process that routes no flows.
     """
 
     metrics: MetricsSource
     dump: Callable[[], dict[str, Any]]
     unready_reason: Callable[[], str]
+    explain_route: Callable[[Mapping[str, str]], Any] | None = None
 
     async def handle(self, request: HttpServerRequest) -> HttpServerResponse:
         """Return the response to a request."""
@@ -50,5 +54,17 @@
             case "/metrics":
                 body, content_type = self.metrics.exposition()
                 return HttpServerResponse(200, body, (("content-type", content_type),))
+            case "/route" if self.explain_route is not None:
+                return self._respond_to_route_query(request, self.explain_route)
         paths = "/live, /ready, /dump, /metrics"
+        if self.explain_route is not None:
+            paths += ", /route"
         return json_response(404, {"error": f"path is {request.path}, allowed are {paths}"})
+
+    def _respond_to_route_query(
+        self, request: HttpServerRequest, explain_route: Callable[[Mapping[str, str]], Any]
+    ) -> HttpServerResponse:
+        try:
+            return json_response(200, explain_route(request.query))
+        except ValueError as error:
+            return json_response(400, {"error": str(error)})
--- a/chicorypost/platform/__init__.py
+++ b/chicorypost/platform/__init__.py
@@ -43,6 +43,7 @@
         read_request_id,
         wrap_packet,
     )
+    from chicorypost.platform._route_query import read_route_query
     from chicorypost.platform._settings import (
         SETTINGS_VARIABLE,
         InvalidNodeSettings,
@@ -86,6 +87,7 @@
     "read_node_settings",
     "read_packet",
     "read_request_id",
+    "read_route_query",
     "wrap_packet",
 ]
 
@@ -125,6 +127,7 @@
         "read_node_settings": "_settings",
         "read_packet": "_packets",
         "read_request_id": "_packets",
+        "read_route_query": "_route_query",
         "wrap_packet": "_packets",
     },
 )
--- a/chicorypost/roles/_admin.py
+++ b/chicorypost/roles/_admin.py
@@ -1,6 +1,6 @@
 """Admin listener of a role: metrics and state dump for operators on the machine's network."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import trio
@@ -19,12 +19,16 @@
     dump: Callable[[], dict[str, Any]],
     unready_reason: Callable[[], str],
     emit: Callable[[Emit], None],
+    explain_route: Callable[[Mapping[str, str]], Any] | None = None,
 ) -> None:
-    """Serve live, ready, dump and metrics until cancelled; return if the port is in use."""
+    """Serve live, ready, dump and metrics until cancelled; return if the port is in use.
+
+    A balancer also serves route, which explains where an opening would go.
+    """
     from chicorypost.daemons._admin import AdminEndpoints
     from chicorypost.transport import HttpServer, HttpSettings
 
-    endpoints = AdminEndpoints(metrics, dump, unready_reason)
+    endpoints = AdminEndpoints(metrics, dump, unready_reason, explain_route)
     server = HttpServer("admin", HttpSettings(connections=8), endpoints.handle, emit)
     try:
         listeners = await trio.open_tcp_listeners(ADMIN_PORT, host=host)
--- a/chicorypost/roles/_balancer.py
+++ b/chicorypost/roles/_balancer.py
@@ -1,6 +1,7 @@
 """The balancer role: runs the core on trio, with readiness probes and control feeds."""
 
 import math
+from collections.abc import Mapping
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
@@ -165,8 +166,17 @@
                 self.dump,
                 self.unready_reason,
                 self.event_log.emit,
+                self._explain_route,
             )
 
+    def _explain_route(self, query: Mapping[str, str]) -> Any:
+        """Return where an opening would go now; raise ValueError if the query is invalid."""
+        from chicorypost.cookies._explanation import describe_opening, explain_opening
+        from chicorypost.platform import read_route_query
+
+        address, flow = read_route_query(query)
+        return describe_opening(explain_opening(self.router, address, flow, self.engine.now()))
+
     def metrics(self) -> PlainMetrics:
         """Return the metrics of this process."""
         tracker, cold_starts = self.router.tracker, self.router.cold_starts
