Reset flows whose repeatable request is stalled at an unresponsive upstream, if enabled

Cause: a request at an upstream that accepts flows but has stopped responding waits until its client gives up. A layer-4 balancer can't send it again; it can reset the flow, so that the client does. Ruled out: a long response time as the reason, and resets by a timer: a working upstream with a queue and a flow that has moved to another balancer look the same. The first copy of an opening to a second upstream: both may answer, and three orders of packets break the flow though both upstreams work (test_duplicate_openings.py); restricted to suspected upstreams it would hardly ever act. Change: RepeatingRouter, a class of its own that is imported only with balancing.repeat_share, watches requests in progress. The adapter builds the reset from the flow's key and logs stalled-flow-reset. A full link, a full socket and a pause of the process discard the evidence. Without the setting CookieRouter is used as before.

--- a/chicorypost/cookies/__init__.py
+++ b/chicorypost/cookies/__init__.py
@@ -11,10 +11,13 @@
         Decision,
         DropPacket,
         DropReason,
+        FlowEnds,
         ForwardPacket,
         ResetFlow,
         ResetReason,
+        ResetStalledFlow,
     )
+    from chicorypost.cookies._repeating_router import RepeatingRouter
     from chicorypost.cookies._router import CookieRouter
     from chicorypost.cookies._settings import BalancingSettings, ColdStartLimits, CookieSettings
 
@@ -27,9 +30,12 @@
     "Decision",
     "DropPacket",
     "DropReason",
+    "FlowEnds",
     "ForwardPacket",
+    "RepeatingRouter",
     "ResetFlow",
     "ResetReason",
+    "ResetStalledFlow",
     "make_cookie",
 ]
 
@@ -44,9 +50,12 @@
         "Decision": "_packet",
         "DropReason": "_packet",
         "DropPacket": "_packet",
+        "FlowEnds": "_packet",
         "ForwardPacket": "_packet",
+        "RepeatingRouter": "_repeating_router",
         "ResetFlow": "_packet",
         "ResetReason": "_packet",
+        "ResetStalledFlow": "_packet",
         "make_cookie": "_index",
     },
 )
--- a/chicorypost/cookies/_events.py
+++ b/chicorypost/cookies/_events.py
@@ -86,3 +86,16 @@
     "upstream",
     "slowness",
 )
+STALLED_FLOW_RESET = define_event(
+    835,
+    "stalled-flow-reset",
+    Level.WARNING,
+    "A flow was reset because its upstream is unresponsive; the client may send the request again.",
+    "flow",
+    "route",
+    "upstream",
+    "reason",
+    "copies",
+    "waiting_seconds",
+    "version",
+)
--- a/chicorypost/cookies/_packet.py
+++ b/chicorypost/cookies/_packet.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from chicorypost.base import Address, FlowKey, UpstreamId
+from chicorypost.base import Address, Effect, FlowKey, UpstreamId
 
 
 class CookiePacket(NamedTuple):
@@ -45,6 +45,13 @@
     sequence: int = 0
 
 
+class FlowEnds(NamedTuple):
+    """The ends of a flow, read from its key: the route's address and the client's host."""
+
+    address: Address
+    client: str
+
+
 class DropReason(Enum):
     """Why a packet is dropped without notifying the client."""
 
@@ -98,6 +105,45 @@
     reason: DropReason
 
 
+class RepeatReason(Enum):
+    """Evidence by which a flow with a stalled request is reset."""
+
+    COPIES = "copies"
+    """Several clients repeat data that the upstream doesn't acknowledge."""
+    JUDGED = "judged"
+    """Several balancers report the upstream as unresponsive, and the client repeats its data."""
+
+
+class ResetStalledFlow(Effect, msgspec.Struct, frozen=True):
+    """Reset a flow at the client, so that the client sends its request again on a new flow.
+
+    Parameters
+    ----------
+    flow : FlowKey
+        The flow.
+    ack_number : int
+        The client's last acknowledgement, which is the sequence number of the reset.
+    reason : RepeatReason
+        The evidence.
+    upstream : UpstreamId
+        The unresponsive upstream.
+    route : str
+        Name of the route.
+    copies : int
+        Copies of the request's data that the client has sent.
+    waiting_seconds : float
+        Time since the request.
+    """
+
+    flow: FlowKey
+    ack_number: int
+    reason: RepeatReason
+    upstream: UpstreamId
+    route: str
+    copies: int
+    waiting_seconds: float
+
+
 Decision = ForwardPacket | ResetFlow | DropPacket
 
 DROP_DECISIONS = {reason: DropPacket(reason) for reason in DropReason}
--- a/chicorypost/cookies/_router.py
+++ b/chicorypost/cookies/_router.py
@@ -181,6 +181,9 @@
         self.forwarded_packets += 1
         return decision
 
+    def record_local_fault(self) -> None:
+        """Note that packets were lost or delayed at this machine's link or socket."""
+
     def count_packets(self) -> dict[str, int]:
         """Return the number of packets per decision."""
         return {"forwarded": self.forwarded_packets, **self.counters}
--- a/chicorypost/platform/_packets.py
+++ b/chicorypost/platform/_packets.py
@@ -4,7 +4,7 @@
 from enum import Enum
 
 from chicorypost.base import Address, FlowKey
-from chicorypost.cookies import CookiePacket
+from chicorypost.cookies import CookiePacket, FlowEnds
 
 HEADER_BYTES = 32
 MAX_DATA_BYTES = 1200
@@ -19,6 +19,8 @@
 # Checksum, data length, sequence number, acknowledgement number, flags, padding, source port,
 # destination port, destination address, source address, cookie.
 _HEADER_FORMAT = struct.Struct(">IHIIBBHHIII")
+# Source port, destination port, destination address, source address.
+_FLOW_FORMAT = struct.Struct(">HHII")
 _COOKIE_FORMAT = struct.Struct(">I")
 _COOKIE_OFFSET = 28
 _TOKEN_FORMAT = struct.Struct(">Q")
@@ -107,10 +109,35 @@
     return _TOKEN_FORMAT.pack(token) + header + _COOKIE_FORMAT.pack(cookie) + rest
 
 
+def read_flow_ends(flow: FlowKey) -> FlowEnds:
+    """Return the route's address, as in `read_packet`, and the client's host of a flow."""
+    _, route_port, route_host, client_host = _FLOW_FORMAT.unpack(flow)
+    return FlowEnds(Address(f"{route_host}:{route_port}"), _format_ipv4(client_host))
+
+
+def format_flow_key(flow: FlowKey) -> str:
+    """Return the client's address and port of a flow, as `format_flow` does for a packet."""
+    client_port, _, _, client_host = _FLOW_FORMAT.unpack(flow)
+    return f"{_format_ipv4(client_host)}:{client_port}"
+
+
 def make_reset_packet(data: bytes) -> tuple[str, bytes]:
-    """Return the client's IP address and the packet that resets its flow."""
-    header = _HEADER_FORMAT.unpack_from(data)
-    _, _, _, acknowledged, _, _, client_port, route_port, route_host, client_host, _ = header
+    """Return the client's IP address and the packet that resets the flow of its packet."""
+    acknowledged = _HEADER_FORMAT.unpack_from(data)[3]
+    return make_flow_reset(FlowKey(data[_FLOW_KEY_BYTES]), acknowledged)
+
+
+def make_flow_reset(flow: FlowKey, acknowledged: int) -> tuple[str, bytes]:
+    """Return the client's IP address and the packet that resets its flow.
+
+    Parameters
+    ----------
+    flow : FlowKey
+        The flow.
+    acknowledged : int
+        The client's last acknowledgement; the client ignores a reset with a distant number.
+    """
+    client_port, route_port, route_host, client_host = _FLOW_FORMAT.unpack(flow)
     reset = _HEADER_FORMAT.pack(
         0, 0, acknowledged, 0, ABORT_FLAG, 0, route_port, client_port, client_host, route_host, 0
     )
--- a/chicorypost/roles/_balancer.py
+++ b/chicorypost/roles/_balancer.py
@@ -9,6 +9,7 @@
 from chicorypost import __version__
 from chicorypost.announcements import ControlsChanged, RoutingApplied, SeedsChanged
 from chicorypost.base import Effect, Event, InstanceId, Message
+from chicorypost.cookies import ResetStalledFlow
 from chicorypost.daemons import Engine
 from chicorypost.daemons._events import STARTED
 from chicorypost.daemons._stop import StopControl
@@ -68,6 +69,8 @@
                 self._update_control_links(controls)
             case RoutingApplied(document):
                 self.event_log.emit(ROUTING_APPLIED.emit(version=document.version))
+            case ResetStalledFlow():
+                self.core.forwarder.reset_stalled_flow(effect)
             case Event():
                 pass
             case _:
--- a/chicorypost/roles/_balancer_core.py
+++ b/chicorypost/roles/_balancer_core.py
@@ -17,7 +17,7 @@
 from chicorypost.cookies import CookieRouter, CookieSettings
 from chicorypost.daemons import EventDispatcher, Registration
 from chicorypost.pacing import LinkPacer, PacingSettings
-from chicorypost.platform import NodeSettings
+from chicorypost.platform import NodeSettings, read_flow_ends
 from chicorypost.roles._event_log import EventLog
 from chicorypost.roles._forwarding import Forwarder
 from chicorypost.transport import NOT_LISTENING_PORT, ConnectionHello, open_packet_socket
@@ -46,14 +46,7 @@
         now = Instant(time.monotonic())
         announcements = AnnouncementSettings(interval_seconds=settings.announcement_seconds)
         self.view = DirectoryView(announcements, settings.seeds, now)
-        self.router = CookieRouter(
-            CookieSettings(),
-            settings.data_centre,
-            Random(),
-            now,
-            settings.balancing,
-            settings.cold_start_limits,
-        )
+        self.router = _make_router(settings, now)
         self.packet_socket = open_packet_socket(settings.packets, SOCKET_BUFFER_BYTES)
         self.pacer = LinkPacer(PacingSettings(settings.link_bytes_per_second))
         self.forwarder = Forwarder(
@@ -100,3 +93,16 @@
         """
         service = self.router.find_unreachable_service() if self.view.is_isolated else None
         return f"cut off from all upstreams of {service}" if service is not None else ""
+
+
+def _make_router(settings: NodeSettings, now: Instant) -> CookieRouter:
+    """Return the router; the class that repeats stalled requests is imported only if enabled."""
+    balancing, limits = settings.balancing, settings.cold_start_limits
+    data_centre = settings.data_centre
+    if not balancing.repeat_share:
+        return CookieRouter(CookieSettings(), data_centre, Random(), now, balancing, limits)
+    from chicorypost.cookies import RepeatingRouter
+
+    return RepeatingRouter(
+        CookieSettings(), data_centre, Random(), now, balancing, limits, read_flow_ends
+    )
--- a/chicorypost/roles/_flow_log.py
+++ b/chicorypost/roles/_flow_log.py
@@ -10,15 +10,22 @@
     DropPacket,
     ForwardPacket,
     ResetFlow,
+    ResetStalledFlow,
 )
 from chicorypost.cookies._events import (
     FLOW_OPENED,
     FLOW_RESET,
     PACKET_DROPPED,
     REQUEST_FORWARDED,
+    STALLED_FLOW_RESET,
 )
 from chicorypost.events import Emit
-from chicorypost.platform import format_flow, format_virtual_address, read_request_id
+from chicorypost.platform import (
+    format_flow,
+    format_flow_key,
+    format_virtual_address,
+    read_request_id,
+)
 
 
 class FlowLog:
@@ -63,6 +70,19 @@
                 )
                 self.emit(event)
 
+    def log_stalled_reset(self, effect: ResetStalledFlow) -> None:
+        """Log the reset of a flow with a stalled request."""
+        event = STALLED_FLOW_RESET.emit(
+            flow=format_flow_key(effect.flow),
+            route=effect.route,
+            upstream=effect.upstream,
+            reason=effect.reason.value,
+            copies=effect.copies,
+            waiting_seconds=round(effect.waiting_seconds, 3),
+            version=self.router.version,
+        )
+        self.emit(event)
+
     def _find_route_name(self, packet: CookiePacket, data: bytes) -> str:
         route = self.router.routes.get(packet.address)
         return route.name if route is not None else format_virtual_address(data)
--- a/chicorypost/roles/_forwarding.py
+++ b/chicorypost/roles/_forwarding.py
@@ -3,9 +3,21 @@
 import socket
 
 from chicorypost.base import Instant
-from chicorypost.cookies import CookiePacket, CookieRouter, ForwardPacket, ResetFlow
+from chicorypost.cookies import (
+    CookiePacket,
+    CookieRouter,
+    ForwardPacket,
+    ResetFlow,
+    ResetStalledFlow,
+)
 from chicorypost.pacing import LinkPacer
-from chicorypost.platform import InvalidPacket, make_reset_packet, read_packet, wrap_packet
+from chicorypost.platform import (
+    InvalidPacket,
+    make_flow_reset,
+    make_reset_packet,
+    read_packet,
+    wrap_packet,
+)
 from chicorypost.roles._event_log import EventLog
 from chicorypost.roles._events import LINK_FULL, PACKET_SOCKET_FAILED
 from chicorypost.roles._flow_log import FlowLog
@@ -13,6 +25,8 @@
 RECEIVE_BUFFER_BYTES = 2048
 """Larger than the longest valid packet, so that a packet that is too long is detected."""
 MAX_BATCH_PACKETS = 32
+MAX_UNNOTICED_WAIT_SECONDS = 0.05
+"""Wait in the queue for the link that is too short to make an upstream look unresponsive."""
 
 
 class Forwarder:
@@ -58,6 +72,7 @@
             except BlockingIOError:
                 return
             except OSError as error:
+                self.router.record_local_fault()
                 self.event_log.emit(PACKET_SOCKET_FAILED.emit(reason=str(error)))
                 return
             packet = read_packet(data)
@@ -78,13 +93,22 @@
             if packet.data_bytes or packet.opens_flow or type(decision) is not ForwardPacket:
                 self.flow_log.log_decision(packet, data, decision)
 
+    def reset_stalled_flow(self, effect: ResetStalledFlow) -> None:
+        """Reset a flow at its client without a packet of the client."""
+        host, reset = make_flow_reset(effect.flow, effect.ack_number)
+        self._send_datagram(reset, (host, self.client_port))
+        self.flow_log.log_stalled_reset(effect)
+
     def _enqueue_datagram(
         self, packet: CookiePacket, datagram: bytes, address: tuple[str, int]
     ) -> None:
         dropped_before = self.pacer.counters["dropped"]
         sequence = packet.sequence if packet.data_bytes else None
         self.pacer.enqueue(packet.flow, sequence, datagram, address)
+        if self.pacer.waiting_seconds > MAX_UNNOTICED_WAIT_SECONDS:
+            self.router.record_local_fault()
         if self.pacer.counters["dropped"] > dropped_before:
+            self.router.record_local_fault()
             waiting = round(self.pacer.waiting_seconds, 3)
             self.event_log.emit(
                 LINK_FULL.emit(waiting_seconds=waiting, flows=len(self.pacer.queues))
@@ -96,5 +120,7 @@
             self.packet_socket.sendto(data, address)
         except BlockingIOError:
             self.router.counters["lost-socket-full"] += 1
+            self.router.record_local_fault()
         except OSError as error:
+            self.router.record_local_fault()
             self.event_log.emit(PACKET_SOCKET_FAILED.emit(reason=str(error)))
--- a/chicorypost/roles/_startup_balancer.py
+++ b/chicorypost/roles/_startup_balancer.py
@@ -18,6 +18,7 @@
 
 from chicorypost.announcements import PeerConnected, PeerDisconnected, RoutingApplied
 from chicorypost.base import Effect, Event, InstanceId, Instant, Message, Undecodable
+from chicorypost.cookies import ResetStalledFlow
 from chicorypost.daemons import EventDispatcher
 from chicorypost.platform import NodeSettings, read_endpoint
 from chicorypost.roles._balancer_core import BalancerCore
@@ -231,6 +232,8 @@
         match effect:
             case RoutingApplied(document):
                 self.event_log.emit(ROUTING_APPLIED.emit(version=document.version))
+            case ResetStalledFlow():
+                self.core.forwarder.reset_stalled_flow(effect)
             case Event():
                 pass
             # Only the role connects to all control instances of the view; here the seeds suffice.
