Load model: stalled requests, clients that repeat data, and shared judgements

Cause: the patterns had no upstream that leaves data without an acknowledgement, and 88 balancers with few flows each couldn't be compared with and without repeats. Moving half of the clients works with any number of balancers.

--- a/benchmarks/load_model/flows.py
+++ b/benchmarks/load_model/flows.py
@@ -18,6 +18,7 @@
 """Delay of a late answer to an opening; longer than the client waits with its first copy."""
 FIRST_RETRANSMISSION_SECONDS = 0.2
 """Time after which a client repeats data without an acknowledgement; it doubles each time."""
+MAX_RETRANSMISSION_SECONDS = 1.6
 
 
 class ModelFlow:
@@ -38,6 +39,9 @@
         self.upstream_generation = 0
         self.request_sent_at = 0.0
         self.is_done = False
+        self.sent_bytes = 0
+        """Position of the request in the client's stream."""
+        model.open_flows[key] = self
 
     def open(self) -> None:
         """Open the flow; its first request is timed from here."""
@@ -60,10 +64,10 @@
         packet = CookiePacket(self.key, ADDRESS, True, False, False, copies, 0, 0)
         decision = self.router.route(packet, Instant(self.model.now))
         if not isinstance(decision, ForwardPacket):
-            self._fail_opening()
+            self.fail_attempt()
             return
         upstream = self._find_upstream(decision.upstream)
-        if self._is_reachable(upstream):
+        if self.is_reachable(upstream):
             cookie = decision.cookie or 0
             share = upstream.late_opening_share
             is_late = share > 0.0 and self.model.random.random() < share
@@ -73,7 +77,8 @@
     def _find_upstream(self, name: UpstreamId) -> "ModelUpstream":
         return self.model.upstreams[int(name[1:])]
 
-    def _is_reachable(self, upstream: "ModelUpstream") -> bool:
+    def is_reachable(self, upstream: "ModelUpstream") -> bool:
+        """Return whether packets of this flow get to an upstream."""
         isolated = self.model.isolated_data_centre
         is_separated = isolated is not None and (upstream.data_centre == isolated) != (
             self.data_centre == isolated
@@ -93,10 +98,13 @@
 
     def _give_up_opening(self) -> None:
         if not self.cookie and not self.is_done:
-            self._fail_opening()
+            self.fail_attempt()
 
-    def _fail_opening(self) -> None:
-        """Give the flow up; the client tries again if it has retries and time left."""
+    def fail_attempt(self) -> None:
+        """Give up a flow that was not opened or was reset.
+
+        The client tries again if it has retries and time left.
+        """
         deadline = self.request_sent_at + self.model.settings.deadline_seconds
         if self.retries_left and self.model.now < deadline:
             self.is_done = True
@@ -112,7 +120,15 @@
         if self.is_done:
             return
         packet = CookiePacket(
-            self.key, ADDRESS, False, False, False, self.acknowledged, 500, self.cookie
+            self.key,
+            ADDRESS,
+            False,
+            False,
+            False,
+            self.acknowledged,
+            500,
+            self.cookie,
+            self.sent_bytes,
         )
         decision = self.router.route(packet, Instant(self.model.now))
         remaining_seconds = (
@@ -122,8 +138,19 @@
         self.model.schedule(max(0.0, remaining_seconds), lambda: self._fail_if_unanswered(number))
         if isinstance(decision, ForwardPacket):
             upstream = self._find_upstream(decision.upstream)
-            if self._is_reachable(upstream):
+            if self.is_reachable(upstream):
                 self._deliver_request(upstream)
+            if self.model.settings.repeats_data and not self._is_acknowledged(upstream):
+                copy = partial(self._send_copy, number, 2 * resend_seconds)
+                self.model.schedule(resend_seconds, copy)
+
+    def _is_acknowledged(self, upstream: "ModelUpstream") -> bool:
+        is_silent = upstream.is_hung and not upstream.acknowledges
+        return self.is_reachable(upstream) and not is_silent
+
+    def _send_copy(self, number: int, resend_seconds: float) -> None:
+        if self.remaining_requests == number:
+            self._send_request(min(resend_seconds, MAX_RETRANSMISSION_SECONDS))
 
     def _deliver_request(self, upstream: "ModelUpstream") -> None:
         is_refused = (
@@ -153,7 +180,7 @@
         upstream.served_requests += 1
         if upstream.queued_work:
             upstream.queued_work.popleft()()
-        if self._is_reachable(upstream) and not self.is_done:
+        if self.is_reachable(upstream) and not self.is_done:
             self.model.schedule(2 * ONE_WAY_SECONDS, self._receive_response)
 
     def _receive_response(self) -> None:
@@ -169,6 +196,7 @@
 
     def _send_next_request(self) -> None:
         self._count_request()
+        self.sent_bytes += 500
         self._send_request()
 
     def _fail_if_unanswered(self, number: int) -> None:
--- a/benchmarks/load_model/model.py
+++ b/benchmarks/load_model/model.py
@@ -1,12 +1,12 @@
 """Discrete-event simulation of clients, balancers and upstreams around the real routers."""
 
 import heapq
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 
-from benchmarks.load_model.flows import ADDRESS, ModelFlow
+from benchmarks.load_model.flows import ADDRESS, ONE_WAY_SECONDS, ModelFlow
 from benchmarks.load_model.policies import POLICIES
 from chicorypost.announcements import (
     AnnouncedStatus,
@@ -25,7 +25,14 @@
     UpstreamId,
     Version,
 )
-from chicorypost.cookies import CookieRouter, CookieSettings
+from chicorypost.cookies import (
+    BalancingSettings,
+    CookieRouter,
+    CookieSettings,
+    FlowEnds,
+    RepeatingRouter,
+    ResetStalledFlow,
+)
 from chicorypost.routing import (
     Retryability,
     Route,
@@ -35,6 +42,11 @@
 )
 
 SERVICE = ServiceId("s")
+REPEAT_TICK_SECONDS = 0.05
+UNDISTURBED_SECONDS = 5.0
+"""Time after a fault of an upstream in which a reset of its flows breaks no guarantee."""
+OBSERVATION_SECONDS = 0.5
+"""Interval of the reports of balancers; half of it passes until the judgements arrive."""
 SILENCE_TIMEOUT_SECONDS = 2.5
 """Time without a call after which control instances report an upstream as silent."""
 
@@ -61,6 +73,8 @@
     deadline_seconds: float = 2.5
     seconds: float = 20.0
     retries: int = 0
+    repeats_data: bool = False
+    """Whether clients repeat data that an upstream doesn't acknowledge."""
 
 
 LARGE = ModelSettings(
@@ -77,6 +91,9 @@
 )
 """A deployment of 200 instances: each balancer sees three requests a second."""
 
+MEDIUM = replace(LARGE, balancers=88, data_centres=3, upstreams=75, rate=268.0, repeats_data=True)
+"""88 balancers of three requests a second; clients repeat data that isn't acknowledged."""
+
 
 @dataclass(slots=True)
 class ModelUpstream:
@@ -95,6 +112,10 @@
     """Share of its openings that it answers only after `LATE_OPENING_SECONDS`."""
     is_hung: bool = False
     """Whether it accepts requests without responding."""
+    acknowledges: bool = True
+    """Whether it acknowledges the data of requests while it is hung."""
+    recovered_at: float = float("-inf")
+    """When its last fault ended."""
     generation: int = 0
     """Number of restarts; flows of an earlier generation are lost."""
     status: AnnouncedStatus = AnnouncedStatus.READY
@@ -117,6 +138,10 @@
     crossed_flows: int = 0
     """Flows that two upstreams answered; the client has the cookie of one and the numbers of the
     other."""
+    resets: int = 0
+    """Flows that a balancer reset because their request was stalled."""
+    wrong_resets: int = 0
+    """Of those, flows whose upstream has worked for `UNDISTURBED_SECONDS` and could be reached."""
 
     def percentile(self, share: float) -> float:
         """Return the latency in seconds that a share of the answered requests doesn't exceed."""
@@ -141,6 +166,8 @@
         Seed of all random choices.
     cookie_settings : CookieSettings, optional
         Settings of the routers.
+    balancing : BalancingSettings, optional
+        Features of the routers. `shared_observations` is played by `share_observations`.
     """
 
     def __init__(
@@ -149,7 +176,10 @@
         policy: str,
         seed: int,
         cookie_settings: CookieSettings | None = None,
+        balancing: BalancingSettings = BalancingSettings(),  # noqa: B008 (immutable)
     ) -> None:
+        self.balancing = balancing
+        self.open_flows: dict[FlowKey, ModelFlow] = {}
         self.settings = settings
         self.cookie_settings = cookie_settings or CookieSettings()
         self.random = Random(seed)
@@ -178,7 +208,7 @@
 
     def _make_router(self, data_centre: DataCentreId, policy: str) -> CookieRouter:
         settings, random = self.cookie_settings, Random(self.random.getrandbits(32))
-        router = CookieRouter(settings, data_centre, random, Instant(0.0))
+        router = self._construct_router(settings, data_centre, random)
         make_chooser = POLICIES[policy]
         router.chooser = make_chooser(
             settings, data_centre, router.tracker, router.suspected_upstreams, random
@@ -189,6 +219,15 @@
         router.handle(RoutingApplied(document), Instant(0.0))
         return router
 
+    def _construct_router(
+        self, settings: CookieSettings, data_centre: DataCentreId, random: Random
+    ) -> CookieRouter:
+        if not self.balancing.repeat_share:
+            return CookieRouter(settings, data_centre, random, Instant(0.0))
+        return RepeatingRouter(
+            settings, data_centre, random, Instant(0.0), self.balancing, None, _read_ends
+        )
+
     def schedule(self, seconds: float, action: Callable[[], None]) -> None:
         """Schedule an action after a delay in seconds."""
         self.event_number += 1
@@ -242,6 +281,7 @@
 
         def restart() -> None:
             upstream.is_crashed = False
+            upstream.recovered_at = self.now
 
         self.schedule(down_seconds, restart)
 
@@ -249,6 +289,8 @@
         """Run the simulation to its end and return the results of the clients."""
         self._start_flow()
         self._send_ticks()
+        if self.balancing.shared_observations:
+            self.share_observations()
         while self.event_queue:
             self.now, _, action = heapq.heappop(self.event_queue)
             action()
@@ -256,9 +298,54 @@
 
     def _send_ticks(self) -> None:
         for router in self.routers:
-            router.handle(Tick(), Instant(self.now))
+            deadline = router.next_deadline()
+            # The sum of small intervals may be a little less than the deadline.
+            if deadline is not None and deadline <= self.now + 1e-9:
+                for effect in router.handle(Tick(), Instant(max(self.now, deadline))):
+                    if isinstance(effect, ResetStalledFlow):
+                        self._reset_flow(effect)
+        if self.now < self.settings.seconds:
+            interval = REPEAT_TICK_SECONDS if self.balancing.repeat_share else 0.5
+            self.schedule(interval, self._send_ticks)
+
+    def _reset_flow(self, effect: ResetStalledFlow) -> None:
+        flow = self.open_flows.get(effect.flow)
+        if flow is None or flow.is_done:
+            return
+        self.result.resets += 1
+        upstream = self.upstreams[int(effect.upstream[1:])]
+        is_working = flow.is_reachable(upstream) and not upstream.is_hung
+        was_disturbed = self.now - upstream.recovered_at < UNDISTURBED_SECONDS
+        self.result.wrong_resets += is_working and not was_disturbed
+        self.schedule(ONE_WAY_SECONDS, flow.fail_attempt)
+
+    def share_observations(self) -> None:
+        """Tell all balancers which upstreams two of them see as unresponsive, twice a second.
+
+        Stands for the control instances with `shared_observations`: an upstream is judged by two
+        reports while fewer than two balancers have had an answer from it in the last second.
+        """
+        routers = [router for router in self.routers if isinstance(router, RepeatingRouter)]
+        reports: Counter[UpstreamId] = Counter()
+        answers: Counter[UpstreamId] = Counter()
+        for router in routers:
+            stalled = router.repeats.list_stalled(Instant(self.now))
+            reports.update({request.upstream for _, request in stalled})
+            health = router.suspected_upstreams.health
+            answers.update(
+                name for name, entry in health.items() if self.now - entry.answered_at < 1.0
+            )
+        judged = [name for name, count in reports.items() if count >= 2 > answers[name]]
+        self.schedule(OBSERVATION_SECONDS / 2, lambda: self._send_judgements(routers, judged))
         if self.now < self.settings.seconds:
-            self.schedule(0.5, self._send_ticks)
+            self.schedule(OBSERVATION_SECONDS, self.share_observations)
+
+    def _send_judgements(self, routers: list[RepeatingRouter], judged: list[UpstreamId]) -> None:
+        until = Instant(self.now + 2 * OBSERVATION_SECONDS)
+        for router in routers:
+            for name in judged:
+                run = router.upstreams[name].announcement.started_at_ms
+                router.repeats.record_judgement(name, run, until)
 
     def _start_flow(self) -> None:
         """Start a flow and schedule the next one."""
@@ -271,7 +358,7 @@
         number = self.random.randrange(len(self.routers))
         is_first = number % self.settings.data_centres == 0
         if self.moved_share > 0.0 and is_first and self.random.random() < self.moved_share:
-            number += 1
+            number = (number + 1) % len(self.routers)
         requests = 1 + min(20, int(self.random.expovariate(1 / self.settings.requests_per_flow)))
         ModelFlow(self, key, number, requests, self.settings.retries).open()
 
@@ -289,3 +376,8 @@
         """Return the requests of the busiest upstream over the mean of those that served any."""
         served = [item.served_requests for item in self.upstreams if item.served_requests]
         return max(served) * len(served) / sum(served) if served else 0.0
+
+
+def _read_ends(flow: FlowKey) -> FlowEnds:
+    """Return the ends of a flow; each one has a client of its own."""
+    return FlowEnds(ADDRESS, flow.hex())
--- a/benchmarks/load_model/patterns.py
+++ b/benchmarks/load_model/patterns.py
@@ -82,11 +82,18 @@
     def set_hung(is_hung: bool) -> None:
         for upstream in _list_affected(model):
             upstream.is_hung = is_hung
+            upstream.recovered_at = model.now
 
     model.schedule(6.0, partial(set_hung, True))
     model.schedule(12.0, partial(set_hung, False))
 
 
+def _stall(model: LoadModel) -> None:
+    for upstream in model.upstreams:
+        upstream.acknowledges = False
+    _hang(model)
+
+
 def _grey(model: LoadModel) -> None:
     def set_share(share: float) -> None:
         for upstream in _list_affected(model):
@@ -143,6 +150,7 @@
     "shift": Pattern("half of the clients of a data centre are at another one for 6 s", _shift),
     "slow": Pattern("a seventh of the upstreams take five times as long for a request", _slow),
     "hang": Pattern("a seventh of the upstreams don't respond to requests for 6 s", _hang),
+    "stall": Pattern("as hang, and the data of requests isn't acknowledged either", _stall),
     "grey": Pattern("a seventh of the upstreams refuse two of five requests for 6 s", _grey),
     "flap": Pattern("a seventh of the upstreams crash and restart four times", _flap),
     "zone-cut": Pattern("a data centre is isolated for 6 s", _zone_cut),
--- a/benchmarks/load_model/policies.py
+++ b/benchmarks/load_model/policies.py
@@ -9,7 +9,7 @@
 from chicorypost.cookies._candidates import ServiceCandidates
 from chicorypost.cookies._choice import FlowChooser
 from chicorypost.cookies._flows import FlowTracker
-from chicorypost.cookies._settings import CookieSettings
+from chicorypost.cookies._settings import BalancingSettings, CookieSettings
 from chicorypost.cookies._suspects import SuspectedUpstreams
 
 MAX_COPIES = 2
@@ -82,3 +82,10 @@
     "move-first-copy": CookieSettings(moved_copy=1, overdue_seconds=0.15),
 }
 """Ways to treat the copies of an opening that the chosen upstream hasn't answered."""
+
+REPEAT_SETTINGS: dict[str, BalancingSettings] = {
+    "off": BalancingSettings(),
+    "own-evidence": BalancingSettings(repeat_share=0.1),
+    "shared-evidence": BalancingSettings(shared_observations=True, repeat_share=0.1),
+}
+"""Ways to treat requests without an answer."""
--- a/tests/test_load_model.py
+++ b/tests/test_load_model.py
@@ -4,8 +4,15 @@
 
 import pytest
 
-from benchmarks.load_model import LARGE, PATTERNS, POLICIES, LoadModel, ModelSettings
-from benchmarks.load_model.__main__ import measure, measure_copies
+from benchmarks.load_model import (
+    LARGE,
+    PATTERNS,
+    POLICIES,
+    REPEAT_SETTINGS,
+    LoadModel,
+    ModelSettings,
+)
+from benchmarks.load_model.__main__ import measure, measure_copies, measure_repeats
 from chicorypost.cookies import CookieSettings
 
 SEEDS = 4
@@ -114,6 +121,24 @@
     assert measure_copies("late-openings", "move-first-copy", 1)["crossed"] > 0.0
 
 
+def test_stalled_requests_are_repeated_when_the_evidence_is_shared():
+    """Pattern: a seventh of the upstreams accept flows and acknowledge no request for 6 s.
+
+    Each of 88 balancers sees an upstream every 25 s, so its own evidence almost never suffices.
+    """
+    off, shared = measure_repeats("stall", "off", 1), measure_repeats("stall", "shared-evidence", 1)
+    assert shared["failed"] < 0.5 * off["failed"]
+    assert shared["resets"] > 10 and shared["wrong_resets"] == 0.0
+    assert shared["reset_share"] < REPEAT_SETTINGS["shared-evidence"].repeat_share
+
+
+@pytest.mark.parametrize("pattern", ["calm", "burst", "slow", "shift", "zone-cut", "hang"])
+def test_no_flow_of_a_working_upstream_is_reset_for_a_stalled_request(pattern):
+    """Upstreams that work slowly, behind a queue or a cut, or that acknowledge what they get."""
+    values = measure_repeats(pattern, "shared-evidence", 1)
+    assert values["wrong_resets"] == 0.0
+
+
 def test_a_seed_gives_the_same_run():
     results = []
     for _ in range(2):
