--- a/benchmarks/load_model/model.py
+++ b/benchmarks/load_model/model.py
@@ -3,10 +3,12 @@
 import heapq
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 
-from benchmarks.load_model.flows import ADDRESS, ModelFlow
+import msgspec
+
+from benchmarks.load_model.flows import ADDRESS, ONE_WAY_SECONDS, ModelFlow
 from benchmarks.load_model.observations import SharedObservations
 from benchmarks.load_model.policies import POLICIES, SHARED_POLICY
 from chicorypost.announcements import (
@@ -27,7 +29,14 @@
     UpstreamId,
     Version,
 )
-from chicorypost.cookies import BalancingSettings, CookieRouter, CookieSettings
+from chicorypost.cookies import (
+    BalancingSettings,
+    CookieRouter,
+    CookieSettings,
+    FlowEnds,
+    RepeatingRouter,
+    ResetStalledFlow,
+)
 from chicorypost.observations import ObservationSettings
 from chicorypost.routing import (
     Retryability,
@@ -38,6 +47,9 @@
 )
 
 SERVICE = ServiceId("s")
+REPEAT_TICK_SECONDS = 0.05
+UNDISTURBED_SECONDS = 5.0
+"""Time after a fault of an upstream in which a reset of its flows breaks no guarantee."""
 SILENCE_TIMEOUT_SECONDS = 2.5
 """Time without a call after which control instances report an upstream as silent."""
 
@@ -64,6 +76,8 @@
     deadline_seconds: float = 2.5
     seconds: float = 20.0
     retries: int = 0
+    repeats_data: bool = False
+    """Whether clients repeat data that an upstream doesn't acknowledge."""
 
 
 LARGE = ModelSettings(
@@ -80,6 +94,9 @@
 )
 """A deployment of 200 instances: each balancer sees three requests a second."""
 
+MEDIUM = replace(LARGE, balancers=88, data_centres=3, upstreams=75, rate=268.0, repeats_data=True)
+"""88 balancers of three requests a second; clients repeat data that isn't acknowledged."""
+
 
 @dataclass(slots=True)
 class ModelUpstream:
@@ -98,6 +115,10 @@
     """Share of its openings that it answers only after `LATE_OPENING_SECONDS`."""
     is_hung: bool = False
     """Whether it accepts requests without responding."""
+    acknowledges: bool = True
+    """Whether it acknowledges the data of requests while it is hung."""
+    recovered_at: float = float("-inf")
+    """When its last fault ended."""
     generation: int = 0
     """Number of restarts; flows of an earlier generation are lost."""
     status: AnnouncedStatus = AnnouncedStatus.READY
@@ -120,6 +141,10 @@
     crossed_flows: int = 0
     """Flows that two upstreams answered; the client has the cookie of one and the numbers of the
     other."""
+    resets: int = 0
+    """Flows that a balancer reset because their request was stalled."""
+    wrong_resets: int = 0
+    """Of those, flows whose upstream has worked for `UNDISTURBED_SECONDS` and could be reached."""
 
     def percentile(self, share: float) -> float:
         """Return the latency in seconds that a share of the answered requests doesn't exceed."""
@@ -144,8 +169,10 @@
         Seed of all random choices.
     cookie_settings : CookieSettings, optional
         Settings of the routers.
+    balancing : BalancingSettings, optional
+        Features of the routers; the policy `SHARED_POLICY` enables shared observations too.
     observation_settings : ObservationSettings, optional
-        Settings of shared observations, if the policy uses them.
+        Settings of shared observations.
     """
 
     def __init__(
@@ -154,8 +181,13 @@
         policy: str,
         seed: int,
         cookie_settings: CookieSettings | None = None,
+        balancing: BalancingSettings = BalancingSettings(),  # noqa: B008 (immutable)
         observation_settings: ObservationSettings | None = None,
     ) -> None:
+        self.balancing = balancing
+        if policy == SHARED_POLICY:
+            self.balancing = msgspec.structs.replace(balancing, shared_observations=True)
+        self.open_flows: dict[FlowKey, ModelFlow] = {}
         self.settings = settings
         self.cookie_settings = cookie_settings or CookieSettings()
         self.random = Random(seed)
@@ -183,13 +215,14 @@
         self.judgements: dict[UpstreamId, Judgement | None] = {}
         self.update_balancers()
         self.shared = (
-            SharedObservations(self, observation_settings) if policy == SHARED_POLICY else None
+            SharedObservations(self, observation_settings)
+            if self.balancing.shared_observations
+            else None
         )
 
     def _make_router(self, data_centre: DataCentreId, policy: str) -> CookieRouter:
         settings, random = self.cookie_settings, Random(self.random.getrandbits(32))
-        balancing = BalancingSettings(shared_observations=policy == SHARED_POLICY)
-        router = CookieRouter(settings, data_centre, random, Instant(0.0), balancing)
+        router = self._construct_router(settings, data_centre, random)
         make_chooser = POLICIES[policy]
         router.chooser = make_chooser(
             settings, data_centre, router.tracker, router.suspected_upstreams, random
@@ -201,6 +234,15 @@
         router.handle(RoutingApplied(document), Instant(0.0))
         return router
 
+    def _construct_router(
+        self, settings: CookieSettings, data_centre: DataCentreId, random: Random
+    ) -> CookieRouter:
+        if not self.balancing.repeat_share:
+            return CookieRouter(settings, data_centre, random, Instant(0.0), self.balancing)
+        return RepeatingRouter(
+            settings, data_centre, random, Instant(0.0), self.balancing, None, _read_ends
+        )
+
     def schedule(self, seconds: float, action: Callable[[], None]) -> None:
         """Schedule an action after a delay in seconds."""
         self.event_number += 1
@@ -267,6 +309,7 @@
 
         def restart() -> None:
             upstream.is_crashed = False
+            upstream.recovered_at = self.now
 
         self.schedule(down_seconds, restart)
 
@@ -283,9 +326,29 @@
 
     def _send_ticks(self) -> None:
         for router in self.routers:
-            router.handle(Tick(), Instant(self.now))
+            deadline = router.next_deadline()
+            # The sum of small intervals may be a little less than the deadline.
+            if deadline is not None and deadline <= self.now + 1e-9:
+                for effect in router.handle(Tick(), Instant(max(self.now, deadline))):
+                    if isinstance(effect, ResetStalledFlow):
+                        self._reset_flow(effect)
         if self.now < self.settings.seconds:
-            self.schedule(0.5, self._send_ticks)
+            interval = REPEAT_TICK_SECONDS if self.balancing.repeat_share else 0.5
+            self.schedule(interval, self._send_ticks)
+
+    def _reset_flow(self, effect: ResetStalledFlow) -> None:
+        flow = self.open_flows.get(effect.flow)
+        if flow is None or flow.is_done:
+            return
+        self.record_reset(flow, self.upstreams[int(effect.upstream[1:])])
+        self.schedule(ONE_WAY_SECONDS, flow.fail_attempt)
+
+    def record_reset(self, flow: ModelFlow, upstream: ModelUpstream) -> None:
+        """Record that a balancer has reset an open flow because of its upstream."""
+        self.result.resets += 1
+        is_working = flow.is_reachable(upstream) and not upstream.is_hung
+        was_disturbed = self.now - upstream.recovered_at < UNDISTURBED_SECONDS
+        self.result.wrong_resets += is_working and not was_disturbed
 
     def _start_flow(self) -> None:
         """Start a flow and schedule the next one."""
@@ -298,7 +361,7 @@
         number = self.random.randrange(len(self.routers))
         is_first = number % self.settings.data_centres == 0
         if self.moved_share > 0.0 and is_first and self.random.random() < self.moved_share:
-            number += 1
+            number = (number + 1) % len(self.routers)
         requests = 1 + min(20, int(self.random.expovariate(1 / self.settings.requests_per_flow)))
         ModelFlow(self, key, number, requests, self.settings.retries).open()
 
@@ -316,3 +379,8 @@
         """Return the requests of the busiest upstream over the mean of those that served any."""
         served = [item.served_requests for item in self.upstreams if item.served_requests]
         return max(served) * len(served) / sum(served) if served else 0.0
+
+
+def _read_ends(flow: FlowKey) -> FlowEnds:
+    """Return the ends of a flow; each one has a client of its own."""
+    return FlowEnds(ADDRESS, flow.hex())
--- a/chicorypost/roles/_balancer.py
+++ b/chicorypost/roles/_balancer.py
@@ -15,6 +15,7 @@
     SeedsChanged,
 )
 from chicorypost.base import Effect, Event, InstanceId, Message
+from chicorypost.cookies import ResetStalledFlow
 from chicorypost.daemons import Engine
 from chicorypost.daemons._events import STARTED
 from chicorypost.daemons._stop import StopControl
@@ -74,6 +75,8 @@
                 self._update_control_links(controls)
             case RoutingApplied() | EvacuationsApplied():
                 self.core.log_applied(effect)
+            case ResetStalledFlow():
+                self.core.forwarder.reset_stalled_flow(effect)
             case Event():
                 pass
             case _:
--- a/chicorypost/roles/_balancer_core.py
+++ b/chicorypost/roles/_balancer_core.py
@@ -20,7 +20,7 @@
 from chicorypost.cookies import CookieRouter, CookieSettings
 from chicorypost.daemons import EventDispatcher, Registration
 from chicorypost.pacing import LinkPacer, PacingSettings
-from chicorypost.platform import NodeSettings
+from chicorypost.platform import NodeSettings, read_flow_ends
 from chicorypost.roles._event_log import EventLog
 from chicorypost.roles._events import EVACUATIONS_APPLIED, ROUTING_APPLIED
 from chicorypost.roles._forwarding import Forwarder
@@ -53,16 +53,7 @@
         now = Instant(time.monotonic())
         announcements = AnnouncementSettings(interval_seconds=settings.announcement_seconds)
         self.view = DirectoryView(announcements, settings.seeds, now)
-        self.router = CookieRouter(
-            CookieSettings(),
-            settings.data_centre,
-            Random(),
-            now,
-            settings.balancing,
-            settings.cold_start_limits,
-            InstanceId(settings.host),
-            settings.announcement_seconds,
-        )
+        self.router = _make_router(settings, now)
         self.hello = ConnectionHello(
             InstanceId(settings.host),
             Incarnation(time.time_ns() // 1_000_000),
@@ -138,3 +129,33 @@
         """
         service = self.router.find_unreachable_service() if self.view.is_isolated else None
         return f"cut off from all upstreams of {service}" if service is not None else ""
+
+
+def _make_router(settings: NodeSettings, now: Instant) -> CookieRouter:
+    """Return the router; the class that repeats stalled requests is imported only if enabled."""
+    balancing, limits = settings.balancing, settings.cold_start_limits
+    balancer, data_centre = InstanceId(settings.host), settings.data_centre
+    if not balancing.repeat_share:
+        return CookieRouter(
+            CookieSettings(),
+            data_centre,
+            Random(),
+            now,
+            balancing,
+            limits,
+            balancer,
+            settings.announcement_seconds,
+        )
+    from chicorypost.cookies import RepeatingRouter
+
+    return RepeatingRouter(
+        CookieSettings(),
+        data_centre,
+        Random(),
+        now,
+        balancing,
+        limits,
+        read_flow_ends,
+        balancer,
+        settings.announcement_seconds,
+    )
--- a/chicorypost/roles/_startup_balancer.py
+++ b/chicorypost/roles/_startup_balancer.py
@@ -18,6 +18,7 @@
 
 from chicorypost.announcements import PeerConnected, PeerDisconnected
 from chicorypost.base import Effect, InstanceId, Instant, Message, Undecodable
+from chicorypost.cookies import ResetStalledFlow
 from chicorypost.daemons import EventDispatcher
 from chicorypost.platform import NodeSettings, read_endpoint
 from chicorypost.roles._balancer_core import BalancerCore
@@ -228,7 +229,11 @@
 
     def _execute(self, effect: Effect) -> None:
         # Only the role connects to all control instances of the view; here the seeds suffice.
-        self.core.log_applied(effect)
+        match effect:
+            case ResetStalledFlow():
+                self.core.forwarder.reset_stalled_flow(effect)
+            case _:
+                self.core.log_applied(effect)
 
 
 def _make_seed_connections(settings: NodeSettings, hello_frame: bytes) -> list[SeedConnection]:
