--- a/chicorypost/cookies/_settings.py
+++ b/chicorypost/cookies/_settings.py
@@ -84,9 +84,6 @@
     ----------
     shared_observations : bool, default False
         Whether balancers share which upstreams are unresponsive or slow.
-    shared_demand : bool, default False
-        Whether balancers share the demand of their data centres, and refuse flows by priority
-        when a service has too few slots.
     repeat_share : float, default 0.0
         Extra work allowed for repeats of stalled requests, as a share of the requests that may be
         repeated, at most `MAX_REPEAT_SHARE`; 0 disables repeats.
@@ -95,7 +92,6 @@
     """
 
     shared_observations: bool = False
-    shared_demand: bool = False
     repeat_share: Annotated[float, msgspec.Meta(ge=0, le=MAX_REPEAT_SHARE)] = 0.0
     repeat_after_ms: Annotated[float, msgspec.Meta(ge=50, le=60_000)] = 500.0
 
--- a/chicorypost/platform/tests/test_readers.py
+++ b/chicorypost/platform/tests/test_readers.py
@@ -395,7 +395,12 @@
 
 @pytest.mark.parametrize(
     ("name", "value"),
-    [("repeat_share", 0.3), ("repeat_after_ms", 0), ("shared_demand", 1), ("repeat_shares", 0.1)],
+    [
+        ("repeat_share", 0.3),
+        ("repeat_after_ms", 0),
+        ("shared_observations", 1),
+        ("repeat_shares", 0.1),
+    ],
 )
 def test_an_invalid_feature_is_refused_by_its_name(name, value):
     """Guards against a misspelt or impossible feature that is ignored without a word."""
