Count only judgements of the control instances that get a balancer's reports

Reports go to the first two connected control instances, but the judgements of all connected ones counted. Balancers that were cut off from upstreams and from the first two control instances reported to the third, and the answers that other balancers got contradicted nothing there. Also, a judgement stayed for good when the feed of a control instance that was removed from the cluster was forgotten before its connection was closed, and a judgement that had held through a short loss of the connection was missing afterwards.

Three tests in test_judgements.py fail without this change.

--- a/chicorypost/announcements/_settings.py
+++ b/chicorypost/announcements/_settings.py
@@ -37,6 +37,10 @@
     forget_seconds : float, default 120.0
         How long a gone or silent upstream is remembered, so that its delayed calls are recognised
         as outdated.
+    judging_controls : int, default 2
+        Connected control instances, in the order of their ids, whose judgements of upstreams count
+        for a balancer. As many as its reports go to, so that it can contradict each judgement that
+        it acts on.
     """
 
     interval_seconds: Annotated[float, Bound(gt=0)] = 1.0
@@ -47,6 +51,7 @@
     page_seconds: Annotated[float, Bound(gt=0)] = 0.1
     page_burst: Annotated[int, Bound(ge=0)] = 10
     forget_seconds: Annotated[float, Bound(gt=0)] = 120.0
+    judging_controls: Annotated[int, Bound(ge=1)] = 2
 
     @property
     def silent_seconds(self) -> float:
--- a/chicorypost/announcements/_view.py
+++ b/chicorypost/announcements/_view.py
@@ -184,6 +184,7 @@
                 feed.is_current = False
                 feed.page_deadline = Instant(now + self.settings.subscribe_seconds)
                 self._send(peer, Subscribe(feed.feed_id, feed.position, True))
+                self._update_judged(now)
             case PeerDisconnected(peer):
                 self._handle_disconnect(peer, now)
             case SeedsChanged(seeds):
@@ -201,7 +202,7 @@
                     f"directory view received an unsupported event: got {type(event).__name__}"
                 )
         self._request_document(now)
-        self._update_controls()
+        self._update_controls(now)
         self._update_balancers()
         return self.effects
 
@@ -259,6 +260,7 @@
             changed |= set(feed.listed)
             feed.listed = {}
         was_complete, feed.is_complete = feed.is_complete, page.is_complete
+        was_current = feed.is_current
         feed.is_connected = feed.is_current = True
         feed.feed_id, feed.position = page.feed_id, page.position
         feed.controls, feed.version = page.controls, page.version
@@ -267,6 +269,9 @@
         if feed.is_complete != was_complete:
             changed = set(self.upstreams) | changed
         self._update_upstreams(changed, now)
+        if not was_current:
+            # The page may leave out judgements that have held since before the connection.
+            self._update_judged(now)
 
     def _apply_evacuations(self, sender: InstanceId, evacuations: Evacuations | None) -> None:
         """Apply the evacuated data centres, which each page holds in full, if they are newer."""
@@ -316,17 +321,33 @@
         judgement = self._merge_judgements(name, announcement)
         return VisibleUpstream(announcement, is_silent, warmup_ends_at, judgement)
 
+    def _update_judged(self, now: Instant) -> None:
+        """Recompute the upstreams that are or may be judged; other control instances count now."""
+        names = {name for name, item in self.upstreams.items() if item.judgement is not None}
+        for feed in self._list_judging_feeds():
+            names |= {name for name, item in feed.listed.items() if item.judgement is not None}
+        self._update_upstreams(names & self.upstreams.keys(), now)
+
+    def _list_judging_feeds(self) -> list[ControlFeed]:
+        connected = sorted(name for name, feed in self.feeds.items() if feed.is_connected)
+        feeds = (self.feeds[name] for name in connected[: self.settings.judging_controls])
+        return [feed for feed in feeds if feed.is_current]
+
     def _merge_judgements(self, name: UpstreamId, announcement: Announcement) -> Judgement | None:
-        """Return the strongest judgement of any connected control instance for a run.
+        """Return the strongest judgement of the first connected control instances for a run.
 
         A control instance without reports says the same as one that judges an upstream to be well,
         so a majority of them would say little: unresponsive goes before slow, and of several slow
-        ones the least factor counts.
+        ones the least factor counts. The judgements of others, which rest on the reports of
+        balancers with other connections, don't count: nobody here could contradict them.
         """
+        listed = (feed.listed.get(name) for feed in self.feeds.values())
+        if all(item is None or item.judgement is None for item in listed):
+            return None
         judgements = [
             feed.listed[name].judgement
-            for feed in self.feeds.values()
-            if feed.is_connected and feed.is_current and name in feed.listed
+            for feed in self._list_judging_feeds()
+            if name in feed.listed
             if feed.listed[name].announcement.started_at_ms == announcement.started_at_ms
         ]
         return min(
@@ -395,7 +416,7 @@
             held_version = NO_VERSION if self.needs_whole_document else self.version
             self._send(self.document_source, DocumentRequest(held_version))
 
-    def _update_controls(self) -> None:
+    def _update_controls(self, now: Instant) -> None:
         reported = [feed.controls for feed in self.feeds.values() if feed.is_connected]
         controls = frozenset(self.seeds).union(*reported)
         if not any(reported):
@@ -405,6 +426,7 @@
                 self.feeds.pop(name, None)
             self.controls = controls
             self.effects.append(ControlsChanged(controls))
+            self._update_judged(now)
 
     def _update_balancers(self) -> None:
         counts = [
--- a/chicorypost/announcements/tests/test_judgements.py
+++ b/chicorypost/announcements/tests/test_judgements.py
@@ -10,13 +10,18 @@
     Judgement,
     JudgementsChanged,
     ListedUpstream,
+    PeerConnected,
+    PeerDisconnected,
+    PeersChanged,
     RunJudgement,
+    SeedsChanged,
 )
-from chicorypost.announcements.tests.network import Network
+from chicorypost.announcements.tests.network import SETTINGS, Network
 from chicorypost.announcements.tests.test_table import ORDERS, announce
 from chicorypost.base import InstanceId, Version, decode, encode
+from chicorypost.observations import ObservationSettings
 
-C1, C2 = InstanceId("c1"), InstanceId("c2")
+C1, C2, C3 = InstanceId("c1"), InstanceId("c2"), InstanceId("c3")
 UNRESPONSIVE = Judgement(JudgedState.UNRESPONSIVE)
 RUN_MS = 1000
 
@@ -84,6 +89,39 @@
     assert not network.visible_upstreams[ORDERS].is_silent
 
 
+def test_only_control_instances_count_that_this_balancer_would_report_to():
+    """Failure: balancers that are cut off from an upstream and from the first two control instances
+    report to the third one, where the answers that other balancers get contradict nothing."""
+    network = Network([C1, C2, C3])
+    network.announce(C1, announce())
+    judge(network, C3, UNRESPONSIVE)
+    assert judged(network) is None
+    network.stop(C1)
+    assert judged(network) == UNRESPONSIVE
+    network.start(C1, 9, is_restored=True)
+    assert judged(network) is None
+    assert SETTINGS.judging_controls == ObservationSettings().report_targets
+
+
+def test_a_judgement_ends_with_a_control_instance_that_is_removed(network):
+    """Failure: the balancer closes the connection to a member that was removed and forgets its
+    feed first, so neither a page nor the loss of the connection takes the judgement back."""
+    judge(network, C1, UNRESPONSIVE)
+    network.deliver(network.balancer, SeedsChanged((C2,)))
+    network.deliver(C2, PeersChanged((), (C2,)))
+    network.deliver(C1, PeersChanged((C2,), (C2,)))
+    assert C1 not in network.view.feeds and judged(network) is None
+
+
+def test_a_judgement_holds_again_after_a_short_loss_of_the_connection(network):
+    """Failure: the page after the loss has only what has changed, and the judgement has not."""
+    judge(network, C1, UNRESPONSIVE)
+    network.deliver(network.balancer, PeerDisconnected(C1))
+    assert judged(network) is None
+    network.deliver(network.balancer, PeerConnected(C1))
+    assert judged(network) == UNRESPONSIVE
+
+
 def test_a_new_run_of_an_upstream_does_not_inherit_the_judgement(network):
     """Pattern: a crashed upstream is back before the control instance judges anew."""
     judge(network, C1, UNRESPONSIVE)
