Two balancers with answers prevent a judgement as unresponsive

An upstream was judged unresponsive as long as fewer balancers reported answers than accused it. 27 balancers that are cut off from an upstream needed as many contradictions, though each balancer uses an upstream about once in three seconds. An upstream that answers two balancers runs. The design page says the same: fewer than min_reporters have answers. Slow upstreams are judged as before.

The new test fails without this change.

--- a/chicorypost/observations/_judge.py
+++ b/chicorypost/observations/_judge.py
@@ -72,9 +72,11 @@
     Notes
     -----
     An upstream is judged when at least `min_reporters` balancers report the same of its current run
-    and fewer report that it responds. Balancers contradict a judgement that differs from what they
-    see afterwards, so no report is needed while all is well. The judgements are soft state: a
-    control instance that has restarted judges by the next reports, which come within a second.
+    and fewer report that it responds: for a slow one fewer than those, for an unresponsive one
+    fewer than `min_reporters`, since a cut can separate many balancers from an upstream that runs.
+    Balancers contradict a judgement that differs from what they see afterwards, so no report is
+    needed while all is well. The judgements are soft state: a control instance that has restarted
+    judges by the next reports, which come within a second.
     """
 
     def __init__(
@@ -246,9 +248,11 @@
         return judged
 
     def _judge_upstream(self, name: UpstreamId, tally: Tally) -> Judgement | None:
-        if self._is_established(tally.unresponsive, tally):
+        minimum, slow_reporters = self.settings.min_reporters, len(tally.slowness)
+        # An upstream that answers some balancers runs, however many others are cut off from it.
+        if tally.responsive < minimum <= tally.unresponsive:
             return Judgement(JudgedState.UNRESPONSIVE)
-        if not self._is_established(len(tally.slowness), tally):
+        if slow_reporters < minimum or tally.responsive >= slow_reporters:
             return None
         ordered = sorted(tally.slowness)
         percent = ordered[(len(ordered) - 1) // 2]
@@ -259,9 +263,6 @@
                 percent = known_percent
         return Judgement(JudgedState.SLOW, percent)
 
-    def _is_established(self, reporters: int, tally: Tally) -> bool:
-        return reporters >= self.settings.min_reporters and tally.responsive < reporters
-
     def _log_change(self, name: UpstreamId, item: RunJudgement | None, tally: Tally) -> None:
         judgement = item.judgement if item is not None else None
         is_slow = judgement is not None and judgement.state is JudgedState.SLOW
--- a/chicorypost/observations/tests/test_judge.py
+++ b/chicorypost/observations/tests/test_judge.py
@@ -132,6 +132,17 @@
     assert control.run() == {}
 
 
+def test_two_balancers_with_answers_suffice_against_many_that_are_cut_off(control):
+    """Failure: a cut separates the balancers of one data centre from an upstream that serves all
+    others. Few of these have an answer in the same 3 s, each using it once in that time."""
+    for number in range(27):
+        control.report(f"cut-{number}", sees(HUNG))
+    assert HUNG in control.run()
+    control.report("b1", responds(HUNG))
+    control.report("b2", responds(HUNG))
+    assert control.run() == {}
+
+
 def test_slow_upstreams_are_judged_by_the_median_and_small_changes_are_not_sent(control):
     """Pattern: an upstream is slow by 5; each change of the figure would cost a page."""
     for number, percent in enumerate((200, 250, 800)):
