Forget balancers that have reported nothing unusual

Reporters were removed only by an evaluation, which isn't scheduled without observations, so balancers that came and went under new names with empty reports were remembered for good. A new reporter now removes the expired ones. The new test fails without this change.

--- a/chicorypost/observations/_judge.py
+++ b/chicorypost/observations/_judge.py
@@ -141,6 +141,9 @@
         if known is not None and known.is_newer(report, now):
             self.counters["outdated"] += 1
             return
+        if known is None:
+            # Without judgements nothing is evaluated, and balancers come and go all the same.
+            self._remove_expired(now)
         self.counters["accepted"] += 1
         observations, events = select_usable(report, sender)
         self.effects += events
--- a/chicorypost/observations/tests/test_judge.py
+++ b/chicorypost/observations/tests/test_judge.py
@@ -143,6 +143,15 @@
     assert control.run() == {}
 
 
+def test_reporters_are_forgotten_also_without_observations(control):
+    """Failure: balancers come and go under new names; each would be remembered for good."""
+    for number in range(50):
+        control.report(f"b{number}")
+    control.run(SETTINGS.reporter_seconds + 0.1)
+    control.report("next")
+    assert list(control.judge.reporters) == ["next"]
+
+
 def test_slow_upstreams_are_judged_by_the_median_and_small_changes_are_not_sent(control):
     """Pattern: an upstream is slow by 5; each change of the figure would cost a page."""
     for number, percent in enumerate((200, 250, 800)):
