Contradictions of a judgement outlive it

A balancer with answers contradicted a judgement only while it held. As soon as two contradictions had ended it, they were withdrawn and the accusations of balancers that are cut off brought it back, again and again; other balancers wait up to 2 s before they return and so hardly ever did.

The new test fails without this change.

--- a/chicorypost/cookies/_observer.py
+++ b/chicorypost/cookies/_observer.py
@@ -96,7 +96,8 @@
         self.targets: tuple[InstanceId, ...] = ()
         self.evidence: dict[UpstreamId, Evidence] = {}
         self.answered_at: dict[UpstreamId, Instant] = {}
-        """Answers that have ended evidence; kept for `response_memory_seconds`."""
+        """Answers that have ended evidence or contradicted a judgement; kept for
+        `response_memory_seconds`."""
         self.reported: frozenset[Observation] = frozenset()
         self.repeat_at = now
         self.send_allowed_at = now
@@ -272,6 +273,8 @@
         is_recent = age_seconds < self.settings.observation_seconds
         responsive = Observation(name, started_at_ms, ObservedState.RESPONSIVE)
         if name in self.judged_upstreams.unresponsive and is_recent and is_after_judgement:
+            # Held after the judgement has ended, or the same accusations would restore it at once.
+            self.answered_at[name] = responses.answered_at
             return responsive
         # The answers to requests that were sent during a hang say nothing about the speed after it.
         is_known_speed = is_known_speed and name not in self.answered_at
--- a/chicorypost/cookies/tests/test_observer.py
+++ b/chicorypost/cookies/tests/test_observer.py
@@ -257,6 +257,17 @@
     assert balancer.run(1.0) == []
 
 
+def test_a_contradiction_holds_after_it_has_ended_the_judgement(balancer):
+    """Failure: balancers that are cut off go on accusing a good upstream; without the contradiction
+    each end of the judgement brings it back, and the returns of balancers never come."""
+    balancer.judge(HUNG, UNRESPONSIVE)
+    balancer.exchange(HUNG)
+    balancer.run(0.5)
+    balancer.judge(HUNG, None)
+    assert balancer.run(1.5) == [{HUNG: ObservedState.RESPONSIVE}]
+    assert balancer.run(3.0)[-1] == {}
+
+
 def test_judgements_exclude_no_more_than_half_of_the_service(balancer):
     """Failure: control instances judge wrongly, beside suspicions of this balancer."""
     for name in NAMES[:6]:
