An untested suspicion is no evidence for its whole duration

An unanswered opening counted as seen for as long as the suspicion that it causes, up to 8 s, and 3 s more. Two balancers that are cut off from a good upstream so kept it judged almost all the time. It now counts as seen when it was found.

The new test fails without this change.

--- a/chicorypost/cookies/_observer.py
+++ b/chicorypost/cookies/_observer.py
@@ -45,10 +45,11 @@
 
 
 class Unanswered(msgspec.Struct, frozen=True):
-    """A request or an opening that waits too long for an answer."""
+    """A request or an opening that waits too long for an answer, and when that was last seen."""
 
     upstream: UpstreamId
     since: Instant
+    seen_at: Instant
     is_request: bool
 
 
@@ -173,9 +174,9 @@
             started_at_ms = upstream.announcement.started_at_ms
             known = self.evidence.get(name)
             if known is None or known.started_at_ms != started_at_ms:
-                known = Evidence(started_at_ms, item.since, now, item.is_request)
+                known = Evidence(started_at_ms, item.since, item.seen_at, item.is_request)
                 self.evidence[name] = known
-            known.seen_at = now
+            known.seen_at = max(known.seen_at, item.seen_at)
             known.is_request |= item.is_request
         for name, entry in list(self.evidence.items()):
             if self._has_ended(name, entry, now):
@@ -204,15 +205,16 @@
         for name, entry in self.router.tracker.response_times.upstreams.items():
             since = self._find_stalled_request(name, entry, now) if entry.running else None
             if since is not None:
-                yield Unanswered(name, since, True)
+                yield Unanswered(name, since, now, True)
         suspected = self.router.suspected_upstreams
         for name in suspected.unresponsive:
             health = suspected.health[name]
             is_evident = health.unanswered_openings >= self.settings.min_unanswered_openings
-            # A suspicion that this balancer hasn't tested again says nothing about the present.
+            # A suspicion that this balancer hasn't tested again says nothing about the present. It
+            # lasts up to 8 s, in which balancers that are cut off would accuse a good upstream.
             if is_evident and suspected.is_suspected(name, now):
                 since = Instant(max(health.unanswered_since, self.resumed_at))
-                yield Unanswered(name, since, False)
+                yield Unanswered(name, since, health.unanswered_at, False)
 
     def _find_stalled_request(
         self, name: UpstreamId, entry: UpstreamResponses, now: Instant
--- a/chicorypost/cookies/_suspects.py
+++ b/chicorypost/cookies/_suspects.py
@@ -15,6 +15,8 @@
     unanswered_openings: int = 0
     unanswered_since: Instant = NEVER
     """Start of the first of these openings."""
+    unanswered_at: Instant = NEVER
+    """When the last of these openings was found unanswered."""
     suspicion_count: int = 0
     suspected_until: Instant = NEVER
 
@@ -55,6 +57,7 @@
         if not entry.unanswered_openings:
             entry.unanswered_since = opened_at
         entry.unanswered_openings += 1
+        entry.unanswered_at = now
         if now < entry.suspected_until:
             return False
         seconds = self.settings.suspect_seconds * 2**entry.suspicion_count
--- a/chicorypost/cookies/tests/test_observer.py
+++ b/chicorypost/cookies/tests/test_observer.py
@@ -147,6 +147,20 @@
     assert balancer.run(0.3) == [{first: ObservedState.UNRESPONSIVE}]
 
 
+def test_a_suspicion_that_is_not_tested_again_is_no_lasting_evidence(balancer):
+    """Failure: balancers are cut off from a good upstream. Their suspicions last up to 8 s, and two
+    of them would keep it out of use everywhere for most of the time."""
+    suspected = balancer.router.suspected_upstreams
+    for seconds in (1.2, 1.2, 2.2, 4.2):
+        balancer.run(seconds)
+        balancer.exchange(*NAMES[1:], seconds=0.1)
+        opened_at, now = Instant(balancer.now - 0.2), Instant(balancer.now)
+        suspected.record_unanswered_opening(HUNG, opened_at, now)
+    assert balancer.run(1.0)[-1] == {HUNG: ObservedState.UNRESPONSIVE}
+    assert balancer.run(2.4)[-1] == {}
+    assert suspected.is_suspected(HUNG, Instant(balancer.now + 4.0))
+
+
 def test_a_slow_upstream_is_reported_with_its_factor(balancer):
     """Pattern: an upstream is slow by 5; its responses still come."""
     for _ in range(6):
