--- a/chicorypost/cookies/_observer.py
+++ b/chicorypost/cookies/_observer.py
@@ -45,10 +45,11 @@
 
 
 class Unanswered(msgspec.Struct, frozen=True):
-    """A request or an opening that waits too long for an answer."""
+    """A request or an opening that waits too long for an answer, and when that was last seen."""
 
     upstream: UpstreamId
     since: Instant
+    seen_at: Instant
     is_request: bool
 
 
@@ -96,7 +97,8 @@
         self.targets: tuple[InstanceId, ...] = ()
         self.evidence: dict[UpstreamId, Evidence] = {}
         self.answered_at: dict[UpstreamId, Instant] = {}
-        """Answers that have ended evidence; kept for `response_memory_seconds`."""
+        """Answers that have ended evidence or contradicted a judgement; kept for
+        `response_memory_seconds`."""
         self.reported: frozenset[Observation] = frozenset()
         self.repeat_at = now
         self.send_allowed_at = now
@@ -172,9 +174,9 @@
             started_at_ms = upstream.announcement.started_at_ms
             known = self.evidence.get(name)
             if known is None or known.started_at_ms != started_at_ms:
-                known = Evidence(started_at_ms, item.since, now, item.is_request)
+                known = Evidence(started_at_ms, item.since, item.seen_at, item.is_request)
                 self.evidence[name] = known
-            known.seen_at = now
+            known.seen_at = max(known.seen_at, item.seen_at)
             known.is_request |= item.is_request
         for name, entry in list(self.evidence.items()):
             if self._has_ended(name, entry, now):
@@ -203,15 +205,16 @@
         for name, entry in self.router.tracker.response_times.upstreams.items():
             since = self._find_stalled_request(name, entry, now) if entry.running else None
             if since is not None:
-                yield Unanswered(name, since, True)
+                yield Unanswered(name, since, now, True)
         suspected = self.router.suspected_upstreams
         for name in suspected.unresponsive:
             health = suspected.health[name]
             is_evident = health.unanswered_openings >= self.settings.min_unanswered_openings
-            # A suspicion that this balancer hasn't tested again says nothing about the present.
+            # A suspicion that this balancer hasn't tested again says nothing about the present. It
+            # lasts up to 8 s, in which balancers that are cut off would accuse a good upstream.
             if is_evident and suspected.is_suspected(name, now):
                 since = Instant(max(health.unanswered_since, self.resumed_at))
-                yield Unanswered(name, since, False)
+                yield Unanswered(name, since, health.unanswered_at, False)
 
     def _find_stalled_request(
         self, name: UpstreamId, entry: UpstreamResponses, now: Instant
@@ -272,6 +275,8 @@
         is_recent = age_seconds < self.settings.observation_seconds
         responsive = Observation(name, started_at_ms, ObservedState.RESPONSIVE)
         if name in self.judged_upstreams.unresponsive and is_recent and is_after_judgement:
+            # Held after the judgement has ended, or the same accusations would restore it at once.
+            self.answered_at[name] = responses.answered_at
             return responsive
         # The answers to requests that were sent during a hang say nothing about the speed after it.
         is_known_speed = is_known_speed and name not in self.answered_at
--- a/chicorypost/cookies/tests/test_observer.py
+++ b/chicorypost/cookies/tests/test_observer.py
@@ -147,6 +147,20 @@
     assert balancer.run(0.3) == [{first: ObservedState.UNRESPONSIVE}]
 
 
+def test_a_suspicion_that_is_not_tested_again_is_no_lasting_evidence(balancer):
+    """Failure: balancers are cut off from a good upstream. Their suspicions last up to 8 s, and two
+    of them would keep it out of use everywhere for most of the time."""
+    suspected = balancer.router.suspected_upstreams
+    for seconds in (1.2, 1.2, 2.2, 4.2):
+        balancer.run(seconds)
+        balancer.exchange(*NAMES[1:], seconds=0.1)
+        opened_at, now = Instant(balancer.now - 0.2), Instant(balancer.now)
+        suspected.record_unanswered_opening(HUNG, opened_at, now)
+    assert balancer.run(1.0)[-1] == {HUNG: ObservedState.UNRESPONSIVE}
+    assert balancer.run(2.4)[-1] == {}
+    assert suspected.is_suspected(HUNG, Instant(balancer.now + 4.0))
+
+
 def test_a_slow_upstream_is_reported_with_its_factor(balancer):
     """Pattern: an upstream is slow by 5; its responses still come."""
     for _ in range(6):
@@ -257,6 +271,17 @@
     assert balancer.run(1.0) == []
 
 
+def test_a_contradiction_holds_after_it_has_ended_the_judgement(balancer):
+    """Failure: balancers that are cut off go on accusing a good upstream; without the contradiction
+    each end of the judgement brings it back, and the returns of balancers never come."""
+    balancer.judge(HUNG, UNRESPONSIVE)
+    balancer.exchange(HUNG)
+    balancer.run(0.5)
+    balancer.judge(HUNG, None)
+    assert balancer.run(1.5) == [{HUNG: ObservedState.RESPONSIVE}]
+    assert balancer.run(3.0)[-1] == {}
+
+
 def test_judgements_exclude_no_more_than_half_of_the_service(balancer):
     """Failure: control instances judge wrongly, beside suspicions of this balancer."""
     for name in NAMES[:6]:
