Evacuation: keep a refused order refused when the log is applied again

Cause: an order beyond the 256 evacuated data centres changed nothing. A replica that restarts within its process keeps its state and applies its log again, so it found room for that order if another evacuation had ended in between. Its state and revision differed from those of the others from then on.

Change: the refusal takes a revision, which makes the command outdated when it is applied again.

Result: the new test fails before the change (TAKEN instead of OUTDATED) and passes with it.

--- a/chicorypost/evacuation/_records.py
+++ b/chicorypost/evacuation/_records.py
@@ -5,7 +5,7 @@
 from chicorypost.base import DataCentreId, Record
 
 Revision = NewType("Revision", int)
-"""Number of orders that have taken effect."""
+"""Number of orders that have taken effect or were refused for lack of room."""
 
 NO_REVISION = Revision(0)
 MAX_DATA_CENTRES = 256
--- a/chicorypost/evacuation/_state.py
+++ b/chicorypost/evacuation/_state.py
@@ -24,7 +24,7 @@
     OUTDATED = "outdated"
     """Nothing: another order has taken effect since the proposer read the entry."""
     TOO_MANY = "too-many"
-    """Nothing: `MAX_DATA_CENTRES` are evacuated already."""
+    """`MAX_DATA_CENTRES` are evacuated already; only the revision of the others has changed."""
 
 
 class OrderApplied(msgspec.Struct, frozen=True):
@@ -56,7 +56,7 @@
 
     def __init__(self) -> None:
         self.revision = NO_REVISION
-        """Total revision: that of the last command that took effect."""
+        """Total revision: that of the last command that took effect or was refused."""
         self.forgotten_revision = NO_REVISION
         """Revision of each data centre without an entry; not lower than that of any entry that was
         removed, so that a late command for a removed entry is outdated too."""
@@ -113,6 +113,9 @@
         if command.expected_revision != self._get_revision(name):
             return OrderOutcome.OUTDATED
         if name not in self.entries and not self._make_room():
+            # The new revision makes the command outdated for a replica that applies its log again:
+            # an entry may have become removable since.
+            self.revision = self.forgotten_revision = Revision(self.revision + 1)
             return OrderOutcome.TOO_MANY
         self.revision = Revision(self.revision + 1)
         self.entries[name] = EvacuationEntry(name, self.revision, command.is_evacuated)
@@ -130,5 +133,5 @@
             return False
         removed = min(removable, key=lambda entry: entry.revision)
         del self.entries[removed.data_centre]
-        self.forgotten_revision = removed.revision
+        self.forgotten_revision = max(self.forgotten_revision, removed.revision)
         return True
--- a/chicorypost/evacuation/tests/test_state.py
+++ b/chicorypost/evacuation/tests/test_state.py
@@ -102,6 +102,25 @@
     assert len(state.evacuations.data_centres) == MAX_DATA_CENTRES
 
 
+def test_a_refused_order_stays_refused_when_the_log_is_applied_again():
+    """A replica that restarted within its process found room for it, and differed from the others
+    from then on."""
+    state = EvacuationState()
+    for number in range(MAX_DATA_CENTRES):
+        take(state, str(number), True)
+    refused = propose(state, "one more", True)
+    assert apply(state, refused) is OrderOutcome.TOO_MANY
+    take(state, "0", False)
+    before = state.snapshot()
+    assert apply(state, refused) is OrderOutcome.OUTDATED
+    assert state.snapshot() == before
+    late = propose(state, "late", True)
+    take(
+        state, "another", True
+    )  # in place of "0", whose entry is the only one that isn't evacuated
+    assert apply(state, late) is OrderOutcome.OUTDATED
+
+
 def test_commands_and_snapshots_of_both_builds_are_readable():
     state = EvacuationState()
     stored = pack_record(STORED)
