Warm-ups of services without limits cause no page and no save

Cause: a call that was held up for more than 0.2 s, or an upstream that was cold again, counted as a change of its entry in every deployment, and the end of each warm-up as a reason to save the table. Deployments without the limits got pages, messages to peers and saves that they didn't get before.

Change: the table knows the services of the configuration that have a warm-up, and only their warm-ups count. Without a configuration all count.

The new test fails before the change.

--- a/chicorypost/announcements/_registry.py
+++ b/chicorypost/announcements/_registry.py
@@ -131,6 +131,9 @@
             case JudgementsChanged(judgements):
                 self.effects += self.feed.set_judgements(judgements, now)
             case VersionApplied(document):
+                self.table.limited_services = frozenset(
+                    spec.service for spec in document.services if spec.warmup_seconds > 0
+                )
                 self.effects += self.feed.set_document(document, now)
             case EvacuationsChanged(evacuations):
                 self.effects += self.feed.set_evacuations(evacuations, now)
--- a/chicorypost/announcements/_table.py
+++ b/chicorypost/announcements/_table.py
@@ -13,7 +13,7 @@
     LeaveNotice,
     ListedUpstream,
 )
-from chicorypost.base import Instant, UpstreamId
+from chicorypost.base import Instant, ServiceId, UpstreamId
 
 MS_PER_SECOND = 1000
 WARMUP_TOLERANCE_SECONDS = 0.2
@@ -45,6 +45,8 @@
         self.entries: dict[UpstreamId, TableEntry] = {}
         self.warming: set[UpstreamId] = set()
         """Upstreams whose warm-up has ended only after the last call of `pop_warmed_up`."""
+        self.limited_services: frozenset[ServiceId] | None = None
+        """Services that limit the flows to cold upstreams; None if they aren't known yet."""
 
     def record_announcement(
         self, announcement: Announcement, received_at: Instant, is_recent: bool = True
@@ -94,7 +96,7 @@
         if announcement.started_at_ms != entry.announcement.started_at_ms:
             entry.warmup_ends_at = ends_at
         elif _update_warmup(entry, ends_at, received_at):
-            is_change = True
+            is_change = is_change or self._is_limited(announcement)
         entry.announcement = announcement
         revived = self._update_last_contact(entry, received_at, is_recent)
         return revived or ([name] if is_change else [])
@@ -163,7 +165,7 @@
         return marked
 
     def pop_warmed_up(self, now: Instant) -> list[UpstreamId]:
-        """Return the upstreams in use whose warm-up has ended since the last call."""
+        """Return the upstreams in use whose limited warm-up has ended since the last call."""
         entries = {name: self.entries.get(name) for name in self.warming}
         ended = {
             name: entry
@@ -171,7 +173,18 @@
             if entry is None or entry.warmup_ends_at <= now
         }
         self.warming.difference_update(ended)
-        return [name for name, entry in ended.items() if entry is not None and not entry.is_silent]
+        return [
+            name
+            for name, entry in ended.items()
+            if entry is not None and not entry.is_silent and self._is_limited(entry.announcement)
+        ]
+
+    def _is_limited(self, announcement: Announcement) -> bool:
+        """Return whether the warm-up of an upstream limits its flows.
+
+        Other warm-ups only affect its weight, which isn't worth a page to each balancer or a save.
+        """
+        return self.limited_services is None or announcement.service in self.limited_services
 
     def remove_expired(self, now: Instant, seconds: float) -> list[UpstreamId]:
         """Remove upstreams without contact for `seconds`; return the removed ones."""
--- a/chicorypost/announcements/tests/test_warmup.py
+++ b/chicorypost/announcements/tests/test_warmup.py
@@ -17,12 +17,16 @@
     PeerConnected,
     PeerDisconnected,
     Subscribe,
+    TableChanged,
     TableRestored,
+    UpstreamCallReceived,
+    VersionApplied,
 )
 from chicorypost.announcements.tests.network import SETTINGS, Network
 from chicorypost.announcements.tests.test_dissemination import ORDERS, ready
 from chicorypost.announcements.tests.test_table import announce
-from chicorypost.base import InstanceId, Instant, Received, Version
+from chicorypost.base import InstanceId, Instant, Received, Tick, Version
+from chicorypost.routing import RoutingDocument, ServiceSpec
 
 WARMUP_MS = 2000
 
@@ -158,6 +162,23 @@
     assert remaining(network) == 1.0
 
 
+@pytest.mark.parametrize("warmup_seconds", [0.0, 2.0])
+def test_a_warmup_without_limits_costs_no_further_page_and_no_save(warmup_seconds):
+    """Deployments without limits got a page for each call that was held up at a start."""
+    registry = AnnouncementRegistry(SETTINGS, 7, Instant(0.0))
+    spec = ServiceSpec(announce().service, "/", 10, warmup_seconds)
+    registry.handle(VersionApplied(RoutingDocument(Version(1), (), (spec,), 15.0)), Instant(0.0))
+    effects = []
+    for sequence, received_at, warmup_ms in ((1, 1.0, 2000), (2, 1.5, 1000), (3, 2.0, 2000)):
+        sent = msgspec.structs.replace(announce(sequence=sequence), warmup_ms=warmup_ms)
+        received = UpstreamCallReceived(str(sequence), sent)
+        effects += registry.handle(received, Instant(received_at))
+    effects += registry.handle(Tick(), Instant(4.5))
+    changes = sum(isinstance(effect, TableChanged) for effect in effects)
+    assert changes == (4 if warmup_seconds else 1)
+    assert registry.table.entries[announce().upstream].warmup_ends_at == 4.0
+
+
 def test_the_copy_of_a_call_that_arrives_first_counts():
     table = AnnouncementTable()
     first = msgspec.structs.replace(announce(), warmup_ms=WARMUP_MS)
