Send the number of balancers again when it has grown by a quarter

Cause: a new number of balancers was sent only with other changes. Balancers that subscribe one after another while a cold upstream is known each kept the number of their own first page, so the first ones took shares of 1, 1/2, 1/3 and so on, and together exceeded the limit of the upstream.

Change: with a service that has a warm-up, a number that has grown by a quarter is a page of its own. Deployments without a warm-up get no page for it, as before.

The new test fails before the change.

--- a/chicorypost/announcements/_feed.py
+++ b/chicorypost/announcements/_feed.py
@@ -28,6 +28,10 @@
 """Changes of the configuration that can be sent in place of it; enough for a balancer that was cut
 off during a series of changes."""
 
+BALANCERS_GROWTH = 1.25
+"""Growth of the number of balancers after which it is sent without another change. Balancers with
+an older number take too large a share of the limit of a cold upstream."""
+
 
 class Subscriber(msgspec.Struct):
     """Subscription of one balancer: when its last page was sent, and when it expires."""
@@ -78,6 +82,8 @@
         self.next_page_at = now
         """When the next page would be due if pages were sent every `page_seconds`."""
         self.subscribers: dict[InstanceId, Subscriber] = {}
+        self.sent_balancers = 0
+        """Number of balancers in the last page to all of them."""
         self.controls: tuple[InstanceId, ...] = ()
         self.version: Version = NO_VERSION
         self.document: RoutingDocument | None = None
@@ -109,10 +115,18 @@
         self.subscribers[sender] = Subscriber(now, expires_at)
         if message.is_new_connection is not None and self._has_changes_since(message):
             names = [name for name, at in self.changed_at.items() if at > message.position]
-            listed = self._list_upstreams(now, names)
-            return [Send(sender, self._make_page(listed, message.position))]
-        listed = self._list_upstreams(now, list(self.table.entries))
-        return [Send(sender, self._make_page(listed, None))]
+            page = self._make_page(self._list_upstreams(now, names), message.position)
+        else:
+            page = self._make_page(self._list_upstreams(now, list(self.table.entries)), None)
+        effects: list[Effect] = [Send(sender, page)]
+        if self._needs_new_number():
+            effects += self._send_pages(now)
+        return effects
+
+    def _needs_new_number(self) -> bool:
+        """Return whether balancers need the number of balancers without another change."""
+        has_grown = len(self.subscribers) > BALANCERS_GROWTH * self.sent_balancers
+        return self.is_complete and has_grown and bool(self.table.limited_services)
 
     def _is_current(self, subscriber: Subscriber, message: Subscribe, now: Instant) -> bool:
         if message.feed_id != self.feed_id or message.is_new_connection:
@@ -220,6 +234,7 @@
         self.unsent.clear()
         self.next_page_at = Instant(max(self.next_page_at, now) + self.settings.page_seconds)
         page = self._make_page(listed, previous_position)
+        self.sent_balancers = page.balancers or 0
         for subscriber in self.subscribers.values():
             subscriber.sent_at = now
         return [Send(name, page) for name in self.subscribers]
--- a/chicorypost/announcements/_messages.py
+++ b/chicorypost/announcements/_messages.py
@@ -88,7 +88,8 @@
         builds.
     balancers : int or None
         Number of balancers that are subscribed to the sender; None if it has just started, and in
-        messages of earlier builds. A new number causes no page.
+        messages of earlier builds. A new number causes a page only if it has grown by a quarter and
+        a service has a warm-up.
     """
 
     feed_id: int
--- a/chicorypost/announcements/tests/test_warmup.py
+++ b/chicorypost/announcements/tests/test_warmup.py
@@ -229,6 +229,17 @@
         self.subscribe(network, "c1", [str(number) for number in range(100)])
         assert network.registries["c1"].feed.position == position
 
+    def test_balancers_that_subscribe_one_after_another_learn_how_many_they_are(self, network):
+        """The first ones kept the number of their own page, and took too large a share each."""
+        spec = ServiceSpec(ready(1).service, "/", 10, 2.0)
+        document = RoutingDocument(Version(1), (), (spec,), 15.0)
+        network.deliver("c1", VersionApplied(document))
+        position = network.registries["c1"].feed.position
+        for number in range(2, 110):
+            self.subscribe(network, "c1", [f"b{number}"])
+            assert network.view.balancers >= number / 1.25
+        assert network.registries["c1"].feed.position - position == 15
+
     def test_an_instance_that_has_just_started_reports_no_number(self):
         """After a loss of power it would count the first balancer only."""
         network = Network(["c1"])
