A judgement alone doesn't reset a flow beside cold upstreams

Change: before such a reset the warm upstreams that this balancer doesn't suspect itself are used. Result: the new situation in test_explanation fails before; tests of cookies pass.

--- a/chicorypost/cookies/_choice.py
+++ b/chicorypost/cookies/_choice.py
@@ -112,6 +112,10 @@
             ]
             self.cold_starts.record_warm_flow()
             return self._choose_least_loaded(warm, slowness, now)
+        judged = self.list_judged_only(excluded, cold, now)
+        if judged:
+            self.cold_starts.record_warm_flow()
+            return self._choose_least_loaded(judged, slowness, now)
         usable_cold = {name: item for name, item in reachable_cold.items() if name not in excluded}
         if not usable_cold:
             # The warm ones are suspected or silent; without limits they would be used too.
@@ -149,6 +153,22 @@
             self._exclude_judged(candidates, excluded, now)
         return excluded
 
+    def list_judged_only(
+        self,
+        excluded: Mapping[UpstreamId, VisibleUpstream],
+        cold: Mapping[UpstreamId, VisibleUpstream],
+        now: Instant,
+    ) -> list[VisibleUpstream]:
+        """Return the warm upstreams that are excluded without any evidence of this balancer.
+
+        A judgement may be wrong or outdated, so it alone doesn't cause a reset.
+        """
+        return [
+            item
+            for name, item in excluded.items()
+            if name not in cold and not self.suspected_upstreams.is_suspected(name, now)
+        ]
+
     def get_slowness(self, now: Instant) -> Mapping[UpstreamId, float]:
         """Return the slowness of the upstreams that are slow."""
         slowness = self.tracker.response_times.slowness
--- a/chicorypost/cookies/_explanation.py
+++ b/chicorypost/cookies/_explanation.py
@@ -239,6 +239,9 @@
     """Return the options when every reachable upstream is excluded or cold."""
     if not cold or chooser.cold_starts is None:
         return list(candidates)
+    judged = chooser.list_judged_only(excluded, cold, now)
+    if judged:
+        return judged
     usable_cold = {
         name: item for name, item in cold.items() if not item.is_silent and name not in excluded
     }
--- a/chicorypost/cookies/tests/test_explanation.py
+++ b/chicorypost/cookies/tests/test_explanation.py
@@ -12,11 +12,13 @@
     AnnouncedStatus,
     BalancersCounted,
     EvacuationsApplied,
+    JudgedState,
+    Judgement,
     RoutingApplied,
     VisibleUpstreamsChanged,
 )
 from chicorypost.base import Address, FlowKey, Instant, ServiceId
-from chicorypost.cookies import CookieRouter, CookieSettings, ForwardPacket
+from chicorypost.cookies import BalancingSettings, CookieRouter, CookieSettings, ForwardPacket
 from chicorypost.cookies._explanation import Exclusion, describe_opening, explain_opening
 from chicorypost.cookies._packet import DropReason, ResetReason
 from chicorypost.cookies.tests.test_cold_starts import (
@@ -87,17 +89,33 @@
     show(router, make_visible(0, is_silent=True), make_visible(1, is_silent=True))
 
 
+def warm_ones_judged(router):
+    """A judgement alone must not cause a reset."""
+    router.handle(BalancersCounted(109), START)
+    judgement = Judgement(JudgedState.UNRESPONSIVE, 100)
+    judged = msgspec.structs.replace(make_visible(0), judgement=judgement)
+    show(router, judged, make_visible(1, COLD_UNTIL), make_visible(4, COLD_UNTIL))
+
+
 def one_small_data_centre(router):
     show(router, make_visible(0, slots=1), make_visible(1, slots=9), make_visible(2, slots=5))
 
 
 @pytest.mark.parametrize(
     "prepare",
-    [spread_over_data_centres, everything_at_once, all_cold, only_silent, one_small_data_centre],
+    [
+        spread_over_data_centres,
+        everything_at_once,
+        all_cold,
+        only_silent,
+        warm_ones_judged,
+        one_small_data_centre,
+    ],
 )
 def test_openings_go_where_the_explanation_says(prepare):
     """Guards against an explanation that describes another decision than the one that is made."""
-    router = make_router(cold_start_limits=LIMITS)
+    balancing = BalancingSettings(shared_observations=True)
+    router = make_router(cold_start_limits=LIMITS, balancing=balancing)
     prepare(router)
     explained = explain_opening(router, ADDRESS, None, START).services[0]
     chosen: Counter[str] = Counter()
