Soak: evacuations, cold upstreams and hanging upstreams

Each seed now evacuates data centres beside its other faults, and kills all processes after one more acknowledged evacuation at the end. About 70 % of the seeds have limits for cold upstreams, half have shared observations and hanging upstreams.

The upstreams use the kernel's time of receipt, since the process of the stand-ins pauses for up to 4.8 s on a busy machine.

--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -11,14 +11,16 @@
 import signal
 import sys
 import tempfile
+import time
+from datetime import UTC, datetime
 from functools import partial
 from pathlib import Path
 
 import trio
 
 from benchmarks.soak.checks import Finding
-from benchmarks.soak.cluster import SERVICES, SoakCluster
-from benchmarks.soak.plan import Action, Step, make_plan
+from benchmarks.soak.cluster import DATA_CENTRES, SERVICES, SoakCluster
+from benchmarks.soak.plan import Action, Step, make_features, make_plan
 from benchmarks.soak.processes import RoleProcess
 from benchmarks.soak.proxy import ProxyMode
 
@@ -27,6 +29,11 @@
 """Fault-free time after the last step; longer than the recovery limit of a flow."""
 START_TIMEOUT_SECONDS = 40.0
 """Limit for the first configuration; processes start slowly on a loaded machine."""
+STRETCH = 3.0
+"""Factor of the durations of evacuations and hanging upstreams, which last longer than faults."""
+RETURN_SECONDS = 10.0
+"""Time after the end of the last evacuation for the upstreams to warm up and to be used again."""
+WATCH_INTERVAL_SECONDS = 0.05
 
 PROXY_MODES = {
     Action.CONTROL_SILENT: ProxyMode.SILENT,
@@ -43,11 +50,20 @@
         self.seed = seed
         self.plan = make_plan(seed, seconds)
         network_number = 10 + (os.getpid() + seed) % 200
-        self.cluster = SoakCluster(folder, network_number, random.Random(seed))
+        self.features = make_features(seed)
+        self.rng = random.Random(f"operator of {seed}")
+        self.cluster = SoakCluster(
+            folder, network_number, random.Random(seed), self.features, self.rng
+        )
         self.checks = self.cluster.checks
+        self.clock_offset = 0.0
+        """Seconds from the clock of trio to the time of day, which the logs have."""
+        self.longest_pause_seconds = 0.0
+        """Longest pause of this process; it makes openings seem to arrive at once."""
 
     async def run(self) -> list[Finding]:
         """Execute the plan and return the findings."""
+        self.clock_offset = time.time() - trio.current_time()
         try:
             async with trio.open_nursery() as nursery:
                 with trio.fail_after(START_TIMEOUT_SECONDS):
@@ -55,8 +71,12 @@
                 for number in range(CLIENT_COUNT):
                     nursery.start_soon(self._run_client, number)
                 nursery.start_soon(self._read_version_periodically)
+                nursery.start_soon(self._watch_services)
                 await self._execute_plan(nursery)
                 await trio.sleep(SETTLE_SECONDS)
+                # Before the power loss, which could repair what the plan has left behind.
+                await self._check_final_state()
+                await self._lose_power_during_evacuation()
                 await self._check_final_state()
                 nursery.cancel_scope.cancel()
         finally:
@@ -69,7 +89,42 @@
             await trio.sleep_until(start + step.starts_at)
             nursery.start_soon(self._execute_step, step)
         longest = max((step.duration_seconds for step in self.plan), default=0.0)
-        await trio.sleep(len(self.cluster.controls) * longest)
+        await trio.sleep(max(len(self.cluster.controls), STRETCH) * longest)
+        evacuations = self.cluster.evacuations
+        while evacuations.ordered and not self.checks.counts["order-unanswered"]:
+            await trio.sleep(0.1)
+
+    async def _lose_power_during_evacuation(self) -> None:
+        """Kill all processes after the acknowledgement of an evacuation, and end it later."""
+        cluster = self.cluster
+        data_centre = self.rng.choice(DATA_CENTRES)
+        await cluster.evacuations.start(data_centre)
+        await trio.sleep(self.rng.uniform(0.0, 6.0))
+        self._update_clock()
+        self.checks.record_fault("power-loss")
+        processes = [*cluster.controls, *cluster.balancers]
+        for process in processes:
+            process.kill()
+        await trio.sleep(1.0)
+        for process in processes:
+            process.settings["bootstrap"] = False
+            # Seven starts in this thread would stop the stand-ins for seconds on a busy machine.
+            await trio.to_thread.run_sync(process.start)
+        self._update_clock()
+        self.checks.record_fault("power-loss")
+        await trio.sleep(SETTLE_SECONDS)
+        await self._check_evacuations()
+        cluster.evacuations.cool_upstreams(data_centre)
+        await cluster.evacuations.end(data_centre)
+        await trio.sleep(RETURN_SECONDS)
+        await self._check_evacuations()
+
+    async def _check_evacuations(self) -> None:
+        for _ in range(10):
+            self._update_clock()
+            if await self.cluster.evacuations.read():
+                return
+        self.checks.record("order-unanswered", target="a read of the evacuations at the end")
 
     async def _check_final_state(self) -> None:
         self._update_clock()
@@ -103,8 +158,21 @@
         while True:
             self._update_clock()
             await self.cluster.read_version()
+            await self.cluster.evacuations.read()
             await trio.sleep(0.5)
 
+    async def _watch_services(self) -> None:
+        """Record when a service has no upstream that may get flows without a limit."""
+        while True:
+            woken_at = trio.current_time()
+            self._update_clock()
+            for service in SERVICES:
+                if not self.cluster.has_usable_upstream(service):
+                    self.checks.unusable_at[service] = woken_at
+            await trio.sleep(WATCH_INTERVAL_SECONDS)
+            pause = trio.current_time() - woken_at - WATCH_INTERVAL_SECONDS
+            self.longest_pause_seconds = max(self.longest_pause_seconds, pause)
+
     async def _execute_step(self, step: Step) -> None:
         self._update_clock()
         cluster, action = self.cluster, step.action
@@ -140,6 +208,12 @@
                 await self._drop_packets(step)
             case Action.UPSTREAM_DRAIN | Action.UPSTREAM_CRASH:
                 await self._replace_upstream(step)
+            case Action.EVACUATION:
+                data_centre = DATA_CENTRES[step.target % 3]
+                seconds = STRETCH * step.duration_seconds
+                await cluster.evacuations.evacuate(data_centre, seconds)
+            case Action.UPSTREAM_HANG:
+                await self._hang_upstream(step)
             case Action.CONFIGURATION:
                 await cluster.put_configuration(cluster.last_version + 1 + step.target % 3)
             case Action.CONFIGURATION_RACE:
@@ -222,6 +296,14 @@
         self.cluster.packet_loss = 0.0
         self._record_fault_end(step)
 
+    async def _hang_upstream(self, step: Step) -> None:
+        live = self.cluster.live_upstreams()
+        upstream = live[step.target % len(live)]
+        self.checks.record_fault(step.action.value)
+        upstream.hangs_until = trio.current_time() + STRETCH * step.duration_seconds
+        await trio.sleep_until(upstream.hangs_until)
+        self._record_fault_end(step)
+
     async def _replace_upstream(self, step: Step) -> None:
         service = SERVICES[step.target % 2]
         live = [item for item in self.cluster.live_upstreams() if item.service == service]
@@ -242,15 +324,25 @@
     folder = Path(tempfile.mkdtemp(prefix="soak-"))
     soak = SoakRun(seed, seconds, folder)
     steps = " ".join(f"{step.starts_at}:{step.action.value}/{step.target}" for step in soak.plan)
-    print(f"seed {seed}: {steps}", flush=True)
+    print(f"seed {seed}: {soak.features} {steps}", flush=True)
     findings = trio.run(soak.run)
     counts = {
         key: soak.checks.counts[key]
-        for key in ("asked", "answered", "faults", "drain-acknowledged")
+        for key in (
+            "asked",
+            "answered",
+            "faults",
+            "drain-acknowledged",
+            "evacuation-acknowledged",
+            "read-evacuations",
+            "cold-openings",
+        )
     }
-    print(f"seed {seed}: {len(findings)} findings, {counts}", flush=True)
+    pause = f"longest pause of the bench {soak.longest_pause_seconds:.2f} s"
+    print(f"seed {seed}: {len(findings)} findings, {counts}, {pause}", flush=True)
     for finding in findings[:10]:
-        print(f"seed {seed}: {finding.guarantee}: {finding.detail}", flush=True)
+        at = datetime.fromtimestamp(finding.at + soak.clock_offset, UTC).time()
+        print(f"seed {seed}: {at} {finding.guarantee}: {finding.detail}", flush=True)
     if findings and keep is not None:
         shutil.copytree(folder, keep / f"seed-{seed}", dirs_exist_ok=True)
     shutil.rmtree(folder)
--- a/benchmarks/soak/cluster.py
+++ b/benchmarks/soak/cluster.py
@@ -11,7 +11,9 @@
 import trio
 
 from benchmarks.soak.checks import GuaranteeChecks
+from benchmarks.soak.evacuations import EvacuationOperator
 from benchmarks.soak.garbage import make_call, make_datagram, make_stream, send_to_stream
+from benchmarks.soak.plan import Features
 from benchmarks.soak.processes import RoleProcess
 from benchmarks.soak.proxy import Proxy
 from benchmarks.standins.platform_client import StandInClient
@@ -36,6 +38,11 @@
 """Link speed in the balancers' settings; so low that packets are queued now and then."""
 SERVICES = ("orders", "archive")
 DATA_CENTRES = ("a", "b", "c")
+WARMUP_SECONDS = 2.0
+BURST_FLOWS = 120
+BURST_SECONDS = 4.0
+BURST_CLIENT_NUMBER = 200
+WARMUP_BOUNDS = {"warmup_overage": 1.5, "warmup_slack": 5}
 
 
 class SoakCluster:
@@ -49,14 +56,35 @@
         Second octet of the loopback addresses, so that concurrent runs use different addresses.
     rng : random.Random
         Source of randomness.
+    features : Features
+        Optional features that are enabled.
+    operator_rng : random.Random
+        Source of randomness of the operator who evacuates data centres.
     """
 
-    def __init__(self, folder: Path, network_number: int, rng: random.Random) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        network_number: int,
+        rng: random.Random,
+        features: Features,
+        operator_rng: random.Random,
+    ) -> None:
+        self.features = features
+        self.balancing = {"shared_observations": True} if features.shares_observations else {}
         self.network_number = network_number
         self.rng = rng
         self.folder = folder
         self.virtual_addresses = {("198.18.0.1", 443 + n): name for n, name in enumerate(SERVICES)}
         self.checks = GuaranteeChecks(dict(self.virtual_addresses))
+        self.evacuations = EvacuationOperator(self, self.checks, operator_rng)
+        self.burst_client = StandInClient(
+            self.host_address(5, BURST_CLIENT_NUMBER),
+            PACKET_PORT,
+            self.send_packet,
+            self._record,
+            operator_rng,
+        )
         self.controls = [self._make_control(number) for number in range(3)]
         self.proxies = [proxy for number in range(3) for proxy in self._make_proxies(number)]
         self.balancers = [self._make_balancer(number) for number in range(4)]
@@ -77,7 +105,7 @@
         return [f"{self.host_address(1, number)}:{CONTROL_PORT}" for number in range(3)]
 
     def _make_settings(self, name: str, host: str, number: int) -> dict[str, Any]:
-        return {
+        settings = {
             "node_name": name,
             "ip": host,
             "zone": DATA_CENTRES[number % 3],
@@ -88,6 +116,9 @@
             "fault_tolerance": {"machines": 1},
             "limits": {"link_mbps": LINK_MEGABITS},
         }
+        if self.features.has_warmup:
+            settings["bounds"] = WARMUP_BOUNDS
+        return settings
 
     def _make_control(self, number: int) -> RoleProcess:
         name = f"control-{number}"
@@ -95,7 +126,7 @@
         settings = self._make_settings(name, self.host_address(2, number), number)
         settings["listen"] = {"control": f"{self.host_address(1, number)}:{CONTROL_PORT}"}
         settings["data_dir"] = str(folder / "disk")
-        return RoleProcess("control", settings, folder)
+        return RoleProcess("control", settings, folder, self.balancing)
 
     def _make_proxies(self, number: int) -> list[Proxy]:
         proxy_host, instance_host = self.host_address(1, number), self.host_address(2, number)
@@ -111,7 +142,7 @@
             "datagram_addr": f"{host}:{PACKET_PORT}",
             "readiness_addr": f"{host}:{READY_PORT}",
         }
-        return RoleProcess("balancer", settings, self.folder / name)
+        return RoleProcess("balancer", settings, self.folder / name, self.balancing)
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Start all processes and stand-ins and submit the first configuration."""
@@ -120,6 +151,7 @@
             await nursery.start(proxy.run)
         for process in (*self.controls, *self.balancers):
             process.start()
+        nursery.start_soon(self.burst_client.receive)
         for number in range(6):
             self.start_upstream(SERVICES[number % 3 // 2], number)
         nursery.start_soon(self._probe_balancers)
@@ -146,13 +178,27 @@
             Endpoint(self.host_address(4, number), UPSTREAM_PORT),
             PACKET_PORT,
             self._control_endpoints,
-            self.checks.record,
+            self._record,
             HEARTBEAT_SECONDS,
+            WARMUP_SECONDS if self.features.has_warmup else 0.0,
         )
         self.upstreams.append(upstream)
         self.nursery.start_soon(upstream.run)
         return upstream
 
+    def _record(self, kind: str, **values: Any) -> None:
+        self.checks.now = trio.current_time()
+        self.checks.record(kind, **values)
+
+    def has_usable_upstream(self, service: str) -> bool:
+        """Return whether a service has a warm upstream that isn't evacuated."""
+        return any(
+            item.service == service
+            and item.data_centre not in self.evacuations.ordered
+            and item.warmup_left_seconds <= 0.0
+            for item in self.live_upstreams()
+        )
+
     def live_upstreams(self) -> list[StandInUpstream]:
         """Return the upstreams that are running and not draining."""
         return [
@@ -238,6 +284,20 @@
             self.host_address(5, number), PACKET_PORT, self.send_packet, self.checks.record, rng
         )
 
+    def start_burst(self) -> None:
+        """Start short flows to all services, so many that cold upstreams would get too many."""
+        assert self.nursery is not None
+        if self.features.has_warmup:
+            self.nursery.start_soon(self._send_burst)
+
+    async def _send_burst(self) -> None:
+        targets = list(self.virtual_addresses)
+        async with trio.open_nursery() as nursery:
+            for number in range(BURST_FLOWS):
+                target = targets[number % len(targets)]
+                nursery.start_soon(self.burst_client.run_flow, target, 1, 0.0)
+                await trio.sleep(BURST_SECONDS / BURST_FLOWS)
+
     async def put_configuration(self, version: int, max_attempts: int = 6) -> bool:
         """Send a configuration until it is acknowledged, at most `max_attempts` times.
 
@@ -249,7 +309,7 @@
         self.last_version = max(self.last_version, version)
         body = json.dumps(self.make_configuration(version)).encode()
         for _ in range(max_attempts):
-            if await self._call_control("POST", "/-/Config.Put", body, (200,)) is not None:
+            if await self.call_control("POST", "/-/Config.Put", body, (200,)) is not None:
                 self.checks.record("put-acknowledged", version=version)
                 return True
         return False
@@ -258,7 +318,7 @@
         """Send an invalid configuration and record a finding if it is acknowledged."""
         body = self.make_configuration(self.last_version + 1000)
         body["routes"][0]["timeout_ms"] = 0
-        response = await self._call_control(
+        response = await self.call_control(
             "POST", "/-/Config.Put", json.dumps(body).encode(), (200,)
         )
         if response is not None:
@@ -267,16 +327,23 @@
     async def read_version(self) -> int | None:
         """Read the configuration and record its version; return None without a response."""
         floor = self.checks.acknowledged_version
-        response = await self._call_control("GET", "/-/Config.Get", b"", (200,))
+        response = await self.call_control("GET", "/-/Config.Get", b"", (200,))
         if response is None:
             return None
         version = int(json.loads(response.body)["version"])
         self.checks.record("read", version=version, floor=floor)
         return version
 
-    async def _call_control(
+    async def call_control(
         self, method: str, path: str, body: bytes, accepted_statuses: tuple[int, ...]
     ) -> ExchangeResponse | None:
+        """Send a call to a random control instance and follow its redirects.
+
+        Returns
+        -------
+        ExchangeResponse or None
+            The response; None if it has another status or none arrives in time.
+        """
         endpoint = self._control_endpoints()[0]
         for _ in range(3):
             response: object = None
@@ -307,6 +374,9 @@
             }
             for (host, port), name in self.virtual_addresses.items()
         ]
-        services = [{"name": name, "health_path": "/", "max_conns": 100} for name in SERVICES]
+        warmup = {"warmup_s": WARMUP_SECONDS} if self.features.has_warmup else {}
+        services = [
+            {"name": name, "health_path": "/", "max_conns": 100, **warmup} for name in SERVICES
+        ]
         limits = {"idle_timeout_ms": 15_000}
         return {"version": version, "routes": routes, "services": services, "limits": limits}
--- a/benchmarks/soak/plan.py
+++ b/benchmarks/soak/plan.py
@@ -34,13 +34,21 @@
     CONFIGURATION_BAD = "configuration-bad"
     GARBAGE = "garbage"
     DISKS_FULL_IN_TURN = "disks-full-in-turn"
+    EVACUATION = "evacuation"
+    UPSTREAM_HANG = "upstream-hang"
 
 
 CONTROL_FAULTS = tuple(action for action in Action if action.value.startswith("control-"))
 REPORTED_FAULTS = (Action.GARBAGE, Action.DISKS_FULL_IN_TURN)
 """Faults that operators of similar systems have reported. Another random generator plans them, so
 that the rest of the plans of earlier seeds stays as it was."""
-OTHER_ACTIONS = tuple(action for action in Action if action not in CONTROL_FAULTS + REPORTED_FAULTS)
+HARD_LOAD_ACTIONS = (Action.EVACUATION, Action.UPSTREAM_HANG)
+"""Actions with random generators of their own, for the same reason."""
+OTHER_ACTIONS = tuple(
+    action
+    for action in Action
+    if action not in CONTROL_FAULTS + REPORTED_FAULTS + HARD_LOAD_ACTIONS
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,6 +61,20 @@
     duration_seconds: float
 
 
+@dataclass(frozen=True, slots=True)
+class Features:
+    """Optional features of the deployment of a run."""
+
+    has_warmup: bool
+    shares_observations: bool
+
+
+def make_features(seed: int) -> Features:
+    """Return the features that are enabled with this seed."""
+    rng = random.Random(f"features of {seed}")
+    return Features(has_warmup=rng.random() < 0.7, shares_observations=rng.random() < 0.5)
+
+
 def make_plan(seed: int, seconds: float) -> list[Step]:
     """Return the plan of a run.
 
@@ -84,8 +106,21 @@
     while at < seconds:
         steps.append(_make_step(rng, at, rng.choice(REPORTED_FAULTS)))
         at += rng.uniform(3.0, 9.0)
+    steps += _make_series(f"evacuations of {seed}", Action.EVACUATION, seconds)
+    if make_features(seed).shares_observations:
+        steps += _make_series(f"hanging upstreams of {seed}", Action.UPSTREAM_HANG, seconds)
     return sorted(steps, key=lambda step: step.starts_at)
 
 
+def _make_series(generator_seed: str, action: Action, seconds: float) -> list[Step]:
+    rng = random.Random(generator_seed)
+    steps = []
+    at = rng.uniform(0.5, 4.0)
+    while at < seconds:
+        steps.append(_make_step(rng, at, action))
+        at += rng.uniform(3.0, 9.0)
+    return steps
+
+
 def _make_step(rng: random.Random, at: float, action: Action) -> Step:
     return Step(round(at, 2), action, rng.randrange(1000), round(rng.uniform(0.5, 3.0), 2))
--- a/benchmarks/soak/processes.py
+++ b/benchmarks/soak/processes.py
@@ -10,7 +10,7 @@
 import sys
 import threading
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -36,6 +36,8 @@
     role: str
     settings: dict[str, Any]
     folder: Path
+    balancing: dict[str, Any] = field(default_factory=dict)
+    """Optional features in its settings file."""
     process: subprocess.Popen[bytes] | None = None
     should_run: bool = False
     """Whether the process is supposed to run; it is restarted after an unexpected exit."""
@@ -55,7 +57,8 @@
         """Replace the settings file at once: a process that starts never reads half of it."""
         self.folder.mkdir(parents=True, exist_ok=True)
         temporary = self.folder / "node.json.new"
-        temporary.write_text(json.dumps(self.settings))
+        extended = {"node": self.settings, "balancing": self.balancing}
+        temporary.write_text(json.dumps(extended if self.balancing else self.settings))
         temporary.replace(self.folder / "node.json")
 
     def start(self) -> None:
--- a/benchmarks/standins/platform_client.py
+++ b/benchmarks/standins/platform_client.py
@@ -21,6 +21,8 @@
 """Timeouts of the opening packet and of each copy; after the last one the client gives up."""
 REQUEST_TIMEOUTS_SECONDS = (0.2, 0.4, 0.8, 1.6)
 INBOX_PACKETS = 512
+REFUSED = "reset while opening"
+NOT_OPENED = "not opened"
 
 
 class FlowFailed(Exception):  # noqa: N818 an outcome of a flow, not a programming error
@@ -101,12 +103,12 @@
                 while True:
                     packet = await packets.receive()
                     if packet.flags & ABORT_FLAG:
-                        raise FlowFailed("reset while opening")
+                        raise FlowFailed(REFUSED)
                     if packet.flags & OPEN_FLAG:
                         flow = ClientFlow(port, start + 1, packet.sequence + 1, packet.cookie)
                         self._send_segment(target, flow, ACK_FLAG)
                         return flow
-        raise FlowFailed("not opened")
+        raise FlowFailed(NOT_OPENED)
 
     async def _send_request(
         self,
--- a/benchmarks/standins/platform_upstream.py
+++ b/benchmarks/standins/platform_upstream.py
@@ -1,8 +1,10 @@
 """Stand-in upstream of the platform: announces itself, accepts flows, responds to requests."""
 
 import json
+import math
 import random
 import socket
+import struct
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -23,6 +25,9 @@
 
 TOKEN_BYTES = 8
 CALL_TIMEOUT_SECONDS = 1.0
+SO_TIMESTAMPNS = 35
+"""Option of Linux that adds the time of receipt to a datagram; missing in the module `socket`."""
+TIMESTAMP_FORMAT = "qq"
 WORK_SECONDS = 0.02
 
 
@@ -76,6 +81,7 @@
     control_endpoints: Callable[[], list[Endpoint]]
     record: Callable[..., None]
     heartbeat_seconds: float = 0.5
+    warmup_seconds: float = 0.0
     started_at_ms: int = field(default_factory=lambda: time.time_ns() // 1_000_000)
     sequence: int = 0
     state: str = "ready"
@@ -83,26 +89,57 @@
     """Whether it has sent its leave call; it then only records what it still receives."""
     flows: dict[tuple[str, int], UpstreamFlow] = field(default_factory=dict)
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    is_held_cold: bool = False
+    """Whether its warm-up starts again and hasn't begun to run down yet."""
+    warm_at: float = field(init=False)
+    """End of its warm-up by the clock of trio."""
+    cold_from: float = field(init=False)
+    hangs_until: float = 0.0
+    """Until then it accepts requests and executes none."""
+
+    def __post_init__(self) -> None:
+        self.cold_from = trio.current_time()
+        self.warm_at = self.cold_from + self.warmup_seconds
 
     @property
     def token(self) -> int:
         """Number in the packets that are forwarded to this upstream."""
         return int(self.name.rpartition("-")[2], 16)
 
+    @property
+    def warmup_left_seconds(self) -> float:
+        """Remaining warm-up, 0 for a warm upstream."""
+        if self.is_held_cold:
+            return self.warmup_seconds
+        return max(0.0, self.warm_at - trio.current_time())
+
+    def hold_cold(self) -> None:
+        """Become cold again; the warm-up runs down after `release_cold`."""
+        if not self.is_held_cold:
+            self.cold_from = trio.current_time()
+            self.is_held_cold = self.warmup_seconds > 0.0
+
+    def release_cold(self) -> None:
+        """Let the warm-up run down if it was held."""
+        if self.is_held_cold:
+            self.warm_at = trio.current_time() + self.warmup_seconds
+            self.is_held_cold = False
+
     async def run(self) -> None:
         """Serve until the scope is cancelled, which looks like a crash to other processes."""
         with self.scope, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as packets:
             packets.setblocking(False)
             packets.bind((self.address.host, self.address.port))
+            packets.setsockopt(socket.SOL_SOCKET, SO_TIMESTAMPNS, 1)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._announce_periodically)
                 while True:
                     await trio.lowlevel.wait_readable(packets)
                     try:
-                        data, _ = packets.recvfrom(4096)
+                        data, ancillary, _, _ = packets.recvmsg(4096, 64)
                     except BlockingIOError:
                         continue
-                    nursery.start_soon(self._handle_datagram, packets, data)
+                    nursery.start_soon(self._handle_datagram, packets, data, _get_age(ancillary))
 
     async def _announce_periodically(self) -> None:
         while self.state == "ready":
@@ -119,7 +156,7 @@
             "version": "v1",
             "max_concurrency": 4,
             "state": self.state,
-            "warmup_left_ms": 0,
+            "warmup_left_ms": math.ceil(self.warmup_left_seconds * 1000),
             "seq": self.sequence,
             "born": self.started_at_ms,
         }
@@ -146,7 +183,9 @@
                     return True
         return False
 
-    async def _handle_datagram(self, packets: socket.socket, data: bytes) -> None:
+    async def _handle_datagram(
+        self, packets: socket.socket, data: bytes, age_seconds: float
+    ) -> None:
         token = int.from_bytes(data[:TOKEN_BYTES], "big")
         if token not in (0, self.token):
             return
@@ -157,7 +196,7 @@
             return
         flow = self.flows.get(packet.source)
         if packet.flags & OPEN_FLAG:
-            self._handle_opening(packets, packet, flow)
+            self._handle_opening(packets, packet, flow, trio.current_time() - age_seconds)
         elif flow is None:
             if not packet.flags & ABORT_FLAG:
                 self._send_segment(packets, packet, ABORT_FLAG, packet.acknowledged, 0)
@@ -167,10 +206,19 @@
             await self._process_request(packets, packet, flow)
 
     def _handle_opening(
-        self, packets: socket.socket, packet: Packet, flow: UpstreamFlow | None
+        self, packets: socket.socket, packet: Packet, flow: UpstreamFlow | None, received_at: float
     ) -> None:
         if flow is None:
-            self.record("opened", upstream=self.name, service=self.service, target=packet.target)
+            self.record(
+                "opened",
+                upstream=self.name,
+                service=self.service,
+                target=packet.target,
+                data_centre=self.data_centre,
+                is_cold=self.cold_from <= received_at
+                and (self.is_held_cold or received_at < self.warm_at),
+                received_at=received_at,
+            )
             first_sequence = random.randrange(1, 2**30)
             flow = self.flows[packet.source] = UpstreamFlow(first_sequence, first_sequence + 1)
         self._send_segment(
@@ -184,6 +232,8 @@
         sequence, response = flow.responses.get(request, (0, b""))
         if not sequence:
             flow.responses[request] = (flow.next_sequence, b"")
+            while trio.current_time() < self.hangs_until:
+                await trio.sleep_until(self.hangs_until)
             self.record("run", upstream=self.name, request=request, service=self.service)
             await trio.sleep(WORK_SECONDS)
             body = f"{request} {self.service}".encode()
@@ -212,3 +262,12 @@
         except OSError:
             # The client has closed its socket; a running one would retransmit its request.
             return
+
+
+def _get_age(ancillary: list[tuple[int, int, bytes]]) -> float:
+    """Return the seconds since the receipt of a datagram, which this process may read late."""
+    for _, kind, data in ancillary:
+        if kind == SO_TIMESTAMPNS:
+            seconds, nanoseconds = struct.unpack(TIMESTAMP_FORMAT, data)
+            return time.time() - seconds - nanoseconds / 1e9
+    return 0.0
