--- a/chicorypost/platform/tests/test_readers.py
+++ b/chicorypost/platform/tests/test_readers.py
@@ -384,13 +384,13 @@
 def test_an_extended_settings_file_holds_the_fields_of_the_platform_and_the_features():
     """Guards against a file with features whose other fields are read from the wrong level."""
     bounds = {"grace_s": 6, "warmup_overage": 1.5, "warmup_slack": 5}
-    platform = SETTINGS | {"bounds": bounds, "zones": {"sfx-a": "tn", "sfx-b": "tn"}}
+    platform = SETTINGS | {"bounds": bounds, "zones": {"north-a": "tn", "north-b": "tn"}}
     content = {"node": platform, "balancing": {"repeat_share": 0.02}}
     node = read_node_settings(json.dumps(content).encode())
     assert isinstance(node, NodeSettings)
     assert node.balancing == BalancingSettings(repeat_share=0.02)
     assert node.cold_start_limits == ColdStartLimits(rate_factor=1.5, extra_flows=5.0)
-    assert node.data_centres == {"sfx-a", "sfx-b"}
+    assert node.data_centres == {"north-a", "north-b"}
 
 
 @pytest.mark.parametrize(
