--- a/chicorypost/cookies/tests/test_cold_starts.py
+++ b/chicorypost/cookies/tests/test_cold_starts.py
@@ -8,6 +8,7 @@
 from chicorypost.announcements import (
     AnnouncedStatus,
     BalancersCounted,
+    EvacuationsApplied,
     RoutingApplied,
     VisibleUpstream,
     VisibleUpstreamsChanged,
@@ -35,6 +36,7 @@
     opening,
     update_upstreams,
 )
+from chicorypost.evacuation import Evacuations, Revision
 from chicorypost.routing import ServiceSpec
 
 START = Instant(100.0)
@@ -393,3 +395,16 @@
     router = make_router([make_visible(0, COLD_UNTIL + 60.0)], warmup_seconds=62.0)
     times = [step / 100 for step in range(500) if NAMES[0] in open_flows(router, step / 100, 1)]
     assert times == [0.0, SPACING_SECONDS, 2 * SPACING_SECONDS, 3 * SPACING_SECONDS]
+
+
+def test_the_end_of_an_evacuation_counts_its_upstreams_as_cold():
+    """Guards against a router that ends an evacuation without telling the limits; its upstreams may
+    have become cold meanwhile, and have no load."""
+    router = make_router([make_visible(0), make_visible(1)], number=1)
+    evacuated = Evacuations(Revision(1), (DATA_CENTRES[1],))
+    router.handle(EvacuationsApplied(evacuated), START)
+    assert set(open_flows(router, 0.1)) == {NAMES[0]}
+    router.handle(EvacuationsApplied(Evacuations(Revision(2), ())), at(1.0))
+    cold_seconds = 1.0 + RETURN_DELAY_SECONDS + WARMUP_SECONDS
+    assert set(open_flows(router, 1.0 + cold_seconds - 0.1)) == {NAMES[0]}
+    assert NAMES[1] in open_flows(router, 1.0 + cold_seconds)
