--- a/review/deployment_2.py
+++ b/review/deployment_2.py
@@ -79,6 +79,10 @@
         self.controls = [self.host(1, number) for number in range(controls)]
         self.balancers = [self.host(3, number) for number in range(balancers)]
         self.seeds = [f"{host}:{CONTROL_PORT}" for host in self.controls[:3]]
+        self.zones: dict[str, str] = {}
+        """Zone of each machine; `zone-a` unless it is named here."""
+        self.spares: list[str] = []
+        """Balancers that aren't started at first."""
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
 
     def host(self, kind: int, number: int) -> str:
@@ -98,7 +102,7 @@
             "machine_class": "core" if is_control else "edge",
             "serves": ["control" if is_control else "edge"],
             "ip": host,
-            "zone": "zone-a",
+            "zone": self.zones.get(host, "zone-a"),
             "region": "region-1",
             "zones": {"zone-a": "region-1", "zone-b": "region-1"},
             "listen": (
@@ -111,7 +115,7 @@
             ),
             "internal_ports": INTERNAL_PORTS,
             "seeds": self.seeds,
-            "bootstrap": is_control,
+            "bootstrap": host not in self.spares,
             "counts_as_loss": is_control,
             "limits": CONTROL_LIMITS if is_control else BALANCER_LIMITS,
             "data_dir": str(data) if is_control else None,
