--- a/review/deployment_2.py
+++ b/review/deployment_2.py
@@ -115,7 +115,7 @@
             ),
             "internal_ports": INTERNAL_PORTS,
             "seeds": self.seeds,
-            "bootstrap": host not in self.spares,
+            "bootstrap": host not in self.spares and host not in self.processes,
             "counts_as_loss": is_control,
             "limits": CONTROL_LIMITS if is_control else BALANCER_LIMITS,
             "data_dir": str(data) if is_control else None,
