--- a/review/deployment_2.py
+++ b/review/deployment_2.py
@@ -84,6 +84,8 @@
         self.spares: list[str] = []
         """Balancers that aren't started at first."""
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        # Ends the case through its `finally` clauses when its time is over.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
 
     def host(self, kind: int, number: int) -> str:
         """Return the loopback address of a machine, a server or a client."""
